The whole path, thin, as seven entry processes

What stands: the server (callers, targets, operators and entry VMs each on an address of its own), the control quorum with its log on disk, ledgers of submissions with primary and backup, membership, dispatch, the merged report, the operators' command and the load tool with stand-in targets.

Ruled out: a table held by one VM as a first step.

The busy refusals come from shares of slots that overlap while demand moves, and eight of them fail a submission; that is next.

--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,99 @@
+// Package event numbers what the programs log, so that operators can search
+// and alert by number. The catalogue docs/EVENTS.md is held to [All] by a test.
+// A logger from go.uber.org/zap does the writing.
+package event
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// ID numbers one kind of event.
+type ID int
+
+// The events: 1xx the process, 2xx settings and files, 3xx entry VMs, 4xx
+// targets, 5xx tasks, 6xx ledgers, 7xx the table and its quorum.
+const (
+	Started           ID = 101
+	Listening         ID = 102
+	Ready             ID = 103
+	ShutdownBegun     ID = 104
+	ShutdownEnded     ID = 105
+	ShutdownCutOff    ID = 106
+	Fault             ID = 109
+	SettingsRefused   ID = 201
+	FileFault         ID = 202
+	VMAlive           ID = 301
+	VMDead            ID = 302
+	PeerRefused       ID = 303
+	TargetLive        ID = 401
+	TargetGone        ID = 402
+	TargetSetAside    ID = 403
+	TargetTrusted     ID = 404
+	AnswerDiscarded   ID = 501
+	LedgerAssigned    ID = 601
+	LedgerTakenOver   ID = 602
+	LedgerLost        ID = 603
+	SubmissionInDoubt ID = 604
+	TableChanged      ID = 701
+	LeaderElected     ID = 702
+	LeaderLost        ID = 703
+	MemberChanged     ID = 704
+	TailCutOff        ID = 705
+)
+
+// Entry describes one event.
+type Entry struct {
+	ID      ID
+	Level   zapcore.Level
+	Text    string
+	Meaning string // for docs/EVENTS.md: what it says and what to do
+}
+
+var entries = []Entry{
+	{Started, zapcore.InfoLevel, "process started", "The settings were accepted. Nothing to do."},
+	{Listening, zapcore.InfoLevel, "listening", "An address is open; the field address has the port that was got."},
+	{Ready, zapcore.InfoLevel, "ready", "The entry VM has a table and takes work."},
+	{ShutdownBegun, zapcore.InfoLevel, "graceful shutdown begun", "No new work is taken; what runs is finished."},
+	{ShutdownEnded, zapcore.InfoLevel, "graceful shutdown ended", "Everything accepted was answered."},
+	{ShutdownCutOff, zapcore.ErrorLevel, "graceful shutdown cut off work", "The limit shutdown_limit passed with work still running; raise it or look for hanging targets."},
+	{Fault, zapcore.ErrorLevel, "fault", "Something failed that should not; the field error tells where. Report it."},
+	{SettingsRefused, zapcore.ErrorLevel, "settings refused", "Each fault is logged with its path in the file; mend them and start again."},
+	{FileFault, zapcore.ErrorLevel, "file fault", "A file of the data folder could not be read, written or synced. Check the disk."},
+	{VMAlive, zapcore.InfoLevel, "entry VM alive", "Heartbeats of another entry VM arrive."},
+	{VMDead, zapcore.WarnLevel, "entry VM dead", "No heartbeat arrived in time: it stopped, is frozen or is cut off."},
+	{PeerRefused, zapcore.WarnLevel, "peer refused", "A process that is not in the settings tried to speak as an entry VM."},
+	{TargetLive, zapcore.InfoLevel, "target live", "A target announced itself."},
+	{TargetGone, zapcore.InfoLevel, "target gone", "A target is leaving, or its lease ended."},
+	{TargetSetAside, zapcore.WarnLevel, "target set aside", "A target fails everything; it gets probes only. Look at it."},
+	{TargetTrusted, zapcore.InfoLevel, "target trusted again", "A probe succeeded."},
+	{AnswerDiscarded, zapcore.WarnLevel, "answer discarded", "A target answered late, cut short or for other work. If one target does it often, look at it."},
+	{LedgerAssigned, zapcore.InfoLevel, "ledger assigned", "This entry VM holds a ledger in a new role."},
+	{LedgerTakenOver, zapcore.WarnLevel, "ledger taken over", "The primary was lost; this entry VM is primary now."},
+	{LedgerLost, zapcore.ErrorLevel, "ledger lost", "All copies are gone; ids of the lost generation are refused as outcome unknown."},
+	{SubmissionInDoubt, zapcore.WarnLevel, "submission in doubt", "Tasks were started and their ends are not known; the submission failed."},
+	{TableChanged, zapcore.InfoLevel, "table changed", "A new version of the table is in force here."},
+	{LeaderElected, zapcore.InfoLevel, "leader elected", "The control quorum has a leader."},
+	{LeaderLost, zapcore.WarnLevel, "leader lost", "No leader of the control quorum is known; table changes are refused meanwhile."},
+	{MemberChanged, zapcore.InfoLevel, "control member changed", "The voters of the control quorum changed."},
+	{TailCutOff, zapcore.WarnLevel, "tail cut off", "The end of the control log was not whole and was cut off; it had not been acknowledged."},
+}
+
+var byID = func() map[ID]Entry {
+	m := make(map[ID]Entry, len(entries))
+	for _, e := range entries {
+		m[e.ID] = e
+	}
+	return m
+}()
+
+// All returns every event in ascending order.
+func All() []Entry { return append([]Entry(nil), entries...) }
+
+// Log writes event id with its text and level.
+func Log(l *zap.Logger, id ID, fields ...zap.Field) {
+	e := byID[id]
+	if c := l.Check(e.Level, e.Text); c != nil {
+		c.Write(append([]zap.Field{zap.Int("event", int(id))}, fields...)...)
+	}
+}
--- /dev/null
+++ b/internal/queue/queue.go
@@ -0,0 +1,297 @@
+package queue
+
+import (
+	"time"
+
+	"tamarackpin.example/internal/code"
+	"tamarackpin.example/internal/party"
+	"tamarackpin.example/internal/table"
+	"tamarackpin.example/internal/wire"
+)
+
+// Place tells a Queue which part of each fleet-wide limit is its own.
+type Place struct {
+	Count int // entry VMs in the settings
+	Index int // of this one among them
+}
+
+// Queue holds the tasks that wait and counts those that run. It is not safe
+// for concurrent use. The zero Queue knows no rows; [Queue.SetTable] brings
+// them.
+type Queue struct {
+	place      Place
+	rows       map[party.Key]*rowState
+	tasks      map[TaskID]*waiting
+	running    map[TaskID]*waiting
+	backlogged []*rowState // rows with waiting tasks, in no order
+	floor      float64     // service of the row that was last given work
+	slots      int
+}
+
+// SetTable puts the rows of s in force. Tasks of a row that s lacks are kept
+// and run by the row as it was.
+func (q *Queue) SetTable(s *table.Snapshot, p Place) {
+	q.init()
+	q.place = p
+	for _, r := range q.rows {
+		r.listed = false
+	}
+	for _, row := range s.Rows() {
+		r := q.rows[row.Key]
+		if r == nil {
+			r = &rowState{place: -1}
+			q.rows[row.Key] = r
+		}
+		r.row = row
+		r.listed = true
+	}
+	for k, r := range q.rows {
+		if !r.listed && r.idle() {
+			delete(q.rows, k)
+		}
+	}
+}
+
+// SetSlots tells how many tasks can run at once, for the estimate of waits.
+func (q *Queue) SetSlots(n int) { q.slots = n }
+
+func (q *Queue) init() {
+	if q.rows == nil {
+		q.rows = make(map[party.Key]*rowState)
+		q.tasks = make(map[TaskID]*waiting)
+		q.running = make(map[TaskID]*waiting)
+	}
+}
+
+// Add takes in tasks of one row, all or none. It returns why not.
+func (q *Queue) Add(now time.Time, tasks ...Task) *code.Error {
+	if len(tasks) == 0 {
+		return nil
+	}
+	key := tasks[0].Key
+	r := q.rows[key]
+	if r == nil || !r.listed {
+		return code.New(code.UnknownParty, "the table has no row %s", key)
+	}
+	if refusal := q.admit(now, r, tasks); refusal != nil {
+		return refusal
+	}
+	q.put(r, tasks)
+	return nil
+}
+
+// Resume takes in tasks of one row that were admitted elsewhere before. A row
+// that the table lacks is made for them, with the least weight.
+func (q *Queue) Resume(_ time.Time, tasks ...Task) *code.Error {
+	if len(tasks) == 0 {
+		return nil
+	}
+	q.init()
+	key := tasks[0].Key
+	r := q.rows[key]
+	if r == nil {
+		r = &rowState{place: -1, row: table.Row{Key: key, Weight: 1, MaxInFlight: table.MaxLimit, MaxQueue: table.MaxLimit}}
+		q.rows[key] = r
+	}
+	q.put(r, tasks)
+	return nil
+}
+
+func (q *Queue) put(r *rowState, tasks []Task) {
+	if len(r.heap) == 0 {
+		// A row that had nothing waiting claims no service for that time.
+		r.service = max(r.service, q.floor)
+		q.enlist(r)
+	}
+	for _, t := range tasks {
+		w := &waiting{Task: t, row: r}
+		q.tasks[t.ID] = w
+		r.heap.add(w)
+		r.backlog += t.Expected
+	}
+}
+
+// admit refuses what exceeds the row's limits or cannot make its deadline.
+func (q *Queue) admit(now time.Time, r *rowState, tasks []Task) *code.Error {
+	bound := q.share(r.row.MaxQueue)
+	if len(r.heap)+len(tasks) > bound {
+		e := code.New(code.QueueFull, "%d tasks wait in row %s, of at most %d on this entry VM", len(r.heap), r.row.Key, bound)
+		return e.WithRetry(retryHint(q.wait(r)))
+	}
+	var work time.Duration
+	for _, t := range tasks {
+		work += t.Expected
+	}
+	first := tasks[0]
+	least := max(first.Expected, work/time.Duration(max(1, q.slots)))
+	if late := now.Add(q.wait(r) + least).Sub(first.Deadline); late > 0 && !first.Deadline.IsZero() {
+		e := code.New(code.DeadlineTooClose, "row %s would be about %s late", r.row.Key, late.Round(time.Millisecond))
+		return e.WithRetry(retryHint(late))
+	}
+	if r.row.RatePerSecond > 0 {
+		rate := max(1, q.share(r.row.RatePerSecond))
+		if ok, retry := r.bucket.take(now, float64(rate), len(tasks)); !ok {
+			e := code.New(code.RateLimited, "row %s is over %d a second on this entry VM", r.row.Key, rate)
+			return e.WithRetry(retryHint(retry))
+		}
+	}
+	return nil
+}
+
+// minRetryHint keeps hints from inviting a storm.
+const minRetryHint = 50 * time.Millisecond
+
+func retryHint(d time.Duration) wire.Duration {
+	return wire.Duration(max(d, minRetryHint).Round(time.Millisecond))
+}
+
+// wait estimates how long a task that arrives in r now waits: the work that
+// goes before it over the slots that the row gets. Less urgent rows do not
+// count, and neither does work of other rows beyond the row's own share.
+func (q *Queue) wait(r *rowState) time.Duration {
+	if len(r.heap) == 0 || q.slots == 0 {
+		return 0
+	}
+	weights := 0
+	for _, o := range q.backlogged {
+		if o.row.Urgent == r.row.Urgent {
+			weights += o.row.Weight
+		}
+	}
+	part := float64(q.slots) * float64(r.row.Weight) / float64(max(1, weights))
+	part = min(part, float64(q.share(r.row.MaxInFlight)))
+	return time.Duration(float64(r.backlog) / max(1, part))
+}
+
+func (q *Queue) share(limit int) int {
+	if q.place.Count == 0 {
+		return limit
+	}
+	return max(1, table.Share(limit, q.place.Count, q.place.Index))
+}
+
+// Next takes out the task to start now, of a kind for which runnable reports
+// true. Urgent rows go before others; among equals the row that had the least
+// service for its weight goes first.
+func (q *Queue) Next(_ time.Time, runnable func(party.Kind) bool) (Task, bool) {
+	var best *rowState
+	for _, r := range q.backlogged {
+		if best != nil && !r.before(best) {
+			continue
+		}
+		if r.inFlight < q.share(r.row.MaxInFlight) && runnable(r.row.Kind) {
+			best = r
+		}
+	}
+	if best == nil {
+		return Task{}, false
+	}
+	w := best.heap[0]
+	q.take(w)
+	best.inFlight++
+	best.charge(w.Expected)
+	q.floor = max(q.floor, best.service)
+	q.running[w.ID] = w
+	return w.Task, true
+}
+
+func (r *rowState) before(o *rowState) bool {
+	if r.row.Urgent != o.row.Urgent {
+		return r.row.Urgent
+	}
+	if r.service != o.service {
+		return r.service < o.service
+	}
+	return r.row.Compare(o.row.Key) < 0
+}
+
+// Done takes in that a started task ended after service, and settles the
+// difference to what was expected.
+func (q *Queue) Done(id TaskID, service time.Duration) {
+	w, ok := q.running[id]
+	if !ok {
+		return
+	}
+	delete(q.running, id)
+	w.row.inFlight--
+	w.row.charge(service - w.Expected)
+	q.dropIdle(w.row)
+}
+
+// Requeue puts back a started task that its target refused to run.
+func (q *Queue) Requeue(id TaskID) {
+	w, ok := q.running[id]
+	if !ok {
+		return
+	}
+	delete(q.running, id)
+	w.row.inFlight--
+	w.row.charge(-w.Expected)
+	if len(w.row.heap) == 0 {
+		q.enlist(w.row)
+	}
+	q.tasks[id] = w
+	w.row.heap.add(w)
+	w.row.backlog += w.Expected
+}
+
+// Remove takes out a waiting task and reports whether it was there.
+func (q *Queue) Remove(id TaskID) bool {
+	w, ok := q.tasks[id]
+	if !ok {
+		return false
+	}
+	q.take(w)
+	q.dropIdle(w.row)
+	return true
+}
+
+// Overdue takes out the waiting tasks whose deadline has passed.
+func (q *Queue) Overdue(now time.Time) []Task {
+	var overdue []Task
+	for i := len(q.backlogged) - 1; i >= 0; i-- {
+		r := q.backlogged[i]
+		for len(r.heap) > 0 && !now.Before(r.heap[0].Deadline) {
+			w := r.heap[0]
+			q.take(w)
+			overdue = append(overdue, w.Task)
+		}
+		q.dropIdle(r)
+	}
+	return overdue
+}
+
+// Waiting returns the number of tasks that wait.
+func (q *Queue) Waiting() int { return len(q.tasks) }
+
+// Running returns the number of tasks that were started and not ended.
+func (q *Queue) Running() int { return len(q.running) }
+
+// take removes w from what waits.
+func (q *Queue) take(w *waiting) {
+	delete(q.tasks, w.ID)
+	w.row.heap.remove(w)
+	w.row.backlog -= w.Expected
+	if len(w.row.heap) == 0 {
+		q.delist(w.row)
+	}
+}
+
+func (q *Queue) enlist(r *rowState) {
+	r.place = len(q.backlogged)
+	q.backlogged = append(q.backlogged, r)
+}
+
+func (q *Queue) delist(r *rowState) {
+	last := q.backlogged[len(q.backlogged)-1]
+	q.backlogged[r.place] = last
+	last.place = r.place
+	q.backlogged = q.backlogged[:len(q.backlogged)-1]
+	r.place = -1
+}
+
+func (q *Queue) dropIdle(r *rowState) {
+	if !r.listed && r.idle() {
+		delete(q.rows, r.row.Key)
+	}
+}
--- /dev/null
+++ b/internal/target/announcement.go
@@ -0,0 +1,78 @@
+// Package target describes the targets that run tasks. Targets announce
+// themselves; a [Book] keeps their leases, [Slots] counts what each may be
+// given, and [Split] divides a target's slots among the entry VMs of its
+// failure domain. The HTTP side is in the server.
+package target
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackpin.example/internal/party"
+	"tamarackpin.example/internal/vm"
+)
+
+// ID names one target.
+type ID string
+
+// Bounds of an announcement.
+const (
+	MaxSlots       = 1024
+	MaxConnections = 65_536
+	MaxKinds       = 256
+)
+
+// Announcement is what a target says of itself, anew at every renewal.
+type Announcement struct {
+	Target        ID               `json:"target"`
+	Address       string           `json:"address"` // IP and port that take tasks over HTTP
+	FailureDomain vm.FailureDomain `json:"failure_domain"`
+	Incarnation   vm.Incarnation   `json:"incarnation"` // grows with each start of the target
+	Sequence      uint64           `json:"sequence"`    // grows with each announcement of an incarnation
+	Slots         int              `json:"slots"`       // tasks it runs at once
+	Connections   int              `json:"connections"` // connections it takes at once
+	Kinds         []party.Kind     `json:"kinds"`
+	Leaving       bool             `json:"leaving,omitempty"` // takes no new task
+	Rack          string           `json:"rack,omitempty"`
+}
+
+// Check returns an error for an announcement that cannot be used.
+func (a Announcement) Check() error {
+	if err := vm.CheckName(string(a.Target)); err != nil {
+		return errors.Wrap(err, "target")
+	}
+	if err := vm.CheckName(string(a.FailureDomain)); err != nil {
+		return errors.Wrap(err, "failure_domain")
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return errors.Newf("address %.80q: want an IP number and a port", a.Address)
+	}
+	if a.Slots < 1 || a.Slots > MaxSlots {
+		return errors.Newf("slots %d: want 1 to %d", a.Slots, MaxSlots)
+	}
+	if a.Connections < 1 || a.Connections > MaxConnections {
+		return errors.Newf("connections %d: want 1 to %d", a.Connections, MaxConnections)
+	}
+	if len(a.Kinds) < 1 || len(a.Kinds) > MaxKinds {
+		return errors.Newf("%d kinds: want 1 to %d", len(a.Kinds), MaxKinds)
+	}
+	for _, k := range a.Kinds {
+		if err := vm.CheckName(string(k)); err != nil {
+			return errors.Wrap(err, "kinds")
+		}
+	}
+	return nil
+}
+
+// Runs reports whether the target takes tasks of kind k.
+func (a Announcement) Runs(k party.Kind) bool { return slices.Contains(a.Kinds, k) }
+
+// newerThan orders announcements of one target, however they travelled.
+func (a Announcement) newerThan(o Announcement) bool {
+	if a.Incarnation != o.Incarnation {
+		return a.Incarnation > o.Incarnation
+	}
+	return a.Sequence > o.Sequence
+}
--- /dev/null
+++ b/internal/target/slots.go
@@ -0,0 +1,118 @@
+package target
+
+import (
+	"tamarackpin.example/internal/party"
+)
+
+// place is what Slots keeps of one target.
+type place struct {
+	lease Lease
+	part  int // slots that this entry VM may use now
+	used  int
+	live  bool
+}
+
+// Slots counts the slots of live targets that this entry VM may use and uses.
+// It is not safe for concurrent use. The zero Slots has no targets.
+type Slots struct {
+	places map[ID]*place
+}
+
+// Set puts the live leases and this entry VM's part of each in force. Targets
+// that are missing get nothing more; their running tasks are still counted.
+func (s *Slots) Set(live []Lease, part func(Lease) int) {
+	if s.places == nil {
+		s.places = make(map[ID]*place)
+	}
+	for _, p := range s.places {
+		p.live = false
+	}
+	for _, l := range live {
+		p := s.places[l.Target]
+		if p == nil {
+			p = &place{}
+			s.places[l.Target] = p
+		}
+		p.lease, p.part, p.live = l, part(l), true
+	}
+	for id, p := range s.places {
+		if !p.live && p.used == 0 {
+			delete(s.places, id)
+		}
+	}
+}
+
+// Free reports whether Acquire would find a slot.
+func (s *Slots) Free(k party.Kind, speed func(ID) float64) bool {
+	for id, p := range s.places {
+		if p.free(k) && speed(id) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Acquire takes a slot of the best target that runs k and has one free, by
+// speed; a target for which speed returns zero or less is passed over.
+func (s *Slots) Acquire(k party.Kind, speed func(ID) float64) (Lease, bool) {
+	var best *place
+	var bestSpeed float64
+	for id, p := range s.places {
+		if !p.free(k) {
+			continue
+		}
+		v := speed(id)
+		if v <= 0 {
+			continue
+		}
+		if best == nil || v > bestSpeed || v == bestSpeed && id < best.lease.Target {
+			best, bestSpeed = p, v
+		}
+	}
+	if best == nil {
+		return Lease{}, false
+	}
+	best.used++
+	return best.lease, true
+}
+
+func (p *place) free(k party.Kind) bool {
+	return p.live && p.used < p.part && p.lease.Runs(k)
+}
+
+// Release gives back a slot of id.
+func (s *Slots) Release(id ID) {
+	p := s.places[id]
+	if p == nil || p.used == 0 {
+		return
+	}
+	p.used--
+	if !p.live && p.used == 0 {
+		delete(s.places, id)
+	}
+}
+
+// Total returns the number of slots that this entry VM may use at once.
+func (s *Slots) Total() int {
+	n := 0
+	for _, p := range s.places {
+		if p.live {
+			n += p.part
+		}
+	}
+	return n
+}
+
+// Usage is one target's slots as this entry VM uses them.
+type Usage struct {
+	Part int `json:"part"`
+	Used int `json:"used"`
+}
+
+// Usage returns the usage of id.
+func (s *Slots) Usage(id ID) Usage {
+	if p := s.places[id]; p != nil {
+		return Usage{Part: p.part, Used: p.used}
+	}
+	return Usage{}
+}
--- /dev/null
+++ b/tamarackpin/internal/controller/propose.go
@@ -0,0 +1,194 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackpin.example/internal/code"
+	"tamarackpin.example/internal/control"
+	"tamarackpin.example/internal/quorum"
+	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/table"
+	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/tamarackpin/internal/peer"
+)
+
+// proposal is a command on its way to the leader.
+type proposal struct {
+	Command control.Command `json:"command"`
+}
+
+// reply is the leader's answer to a proposal, or who leads instead.
+type reply struct {
+	Result control.Result `json:"result"`
+	Leads  bool           `json:"leads"`
+	Leader vm.ID          `json:"leader,omitempty"`
+}
+
+// Propose has the quorum decide about c. Until its time runs out it looks for
+// the leader; once a leader took the command in, it is not proposed again.
+func (k *Controller) Propose(ctx context.Context, c control.Command) (control.Result, *code.Error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	next := 0
+	for {
+		to := k.mayLead(next)
+		next++
+		r, err := k.proposeTo(ctx, to, c)
+		switch {
+		case err != nil:
+			return control.Result{}, err
+		case r.Leads:
+			return r.Result, r.Result.Refusal
+		case r.Leader != "" && r.Leader != to:
+			k.leader.Store(&r.Leader)
+			next = 0
+		}
+		select {
+		case <-ctx.Done():
+			return control.Result{}, code.New(code.TableUnavailable, "no leader of the control quorum was found within %s", proposeTimeout)
+		case <-time.After(retryEvery):
+		}
+	}
+}
+
+// mayLead returns whom to ask on the nth try: the known leader first, then the
+// members in turn.
+func (k *Controller) mayLead(n int) vm.ID {
+	if l := k.leader.Load(); n == 0 && l != nil && *l != "" {
+		return *l
+	}
+	var members []vm.ID
+	for _, v := range k.config.Settings.VMs {
+		if v.Control {
+			members = append(members, v.VM)
+		}
+	}
+	return members[n%len(members)]
+}
+
+func (k *Controller) proposeTo(ctx context.Context, to vm.ID, c control.Command) (reply, *code.Error) {
+	if to == k.self.VM {
+		return k.member.propose(ctx, c)
+	}
+	r, err := peer.Call[reply](ctx, k.config.Mesh, to, report.UseControl, methodPropose, proposal{c})
+	if err == nil {
+		return r, nil
+	}
+	if refusal, ok := peer.Refusal(err); ok {
+		return reply{}, refusal
+	}
+	if errors.Is(err, peer.ErrNotSent) {
+		return reply{}, nil // someone else may lead
+	}
+	return reply{}, code.New(code.TableOutcomeUnsure, "%v", err)
+}
+
+// propose proposes c if this member leads, and waits until it is decided.
+func (m *member) propose(ctx context.Context, c control.Command) (reply, *code.Error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return reply{}, code.New(code.Internal, "encoding a control command: %v", err)
+	}
+	done := make(chan outcome, 1)
+	var r reply
+	ran := m.do(ctx, func(m *member, now time.Time) {
+		index, term, err := m.core.Propose(now, data)
+		if errors.Is(err, quorum.ErrNotLeader) {
+			r.Leader = m.core.Leader().VM
+			return
+		}
+		r.Leads = true
+		m.waiting[index] = waiter{term, done}
+	})
+	if !ran {
+		// The command may still be in the ring.
+		return reply{}, code.New(code.TableOutcomeUnsure, "the control member is busy")
+	}
+	if !r.Leads {
+		return r, nil
+	}
+	select {
+	case o := <-done:
+		if o.err != nil {
+			return reply{}, o.err
+		}
+		r.Result = o.result
+		return r, nil
+	case <-m.stopped:
+	case <-ctx.Done():
+	}
+	return reply{}, code.New(code.TableOutcomeUnsure, "the change was not decided in time")
+}
+
+// Confirm returns once the View in force is at least as late as the state of
+// the quorum when it was called.
+func (k *Controller) Confirm(ctx context.Context) *code.Error {
+	result, refusal := k.Propose(ctx, control.Command{})
+	if refusal != nil {
+		return refusal
+	}
+	for k.View().Index < result.Index {
+		k.fetches.Offer(k.mayLead(0))
+		select {
+		case <-ctx.Done():
+			return code.New(code.NotReady, "the view of index %d did not arrive", result.Index)
+		case <-time.After(retryEvery):
+		}
+	}
+	return nil
+}
+
+// historyRequest asks for the newest changes.
+type historyRequest struct {
+	Most int `json:"most"`
+}
+
+// History returns the newest accepted changes of the table, oldest first, from
+// this member or another.
+func (k *Controller) History(ctx context.Context, most int) ([]table.Entry, *code.Error) {
+	for n := range len(k.config.Settings.VMs) {
+		to := k.mayLead(n)
+		if to == k.self.VM {
+			return k.serveLocalHistory(ctx, most), nil
+		}
+		entries, err := peer.Call[[]table.Entry](ctx, k.config.Mesh, to, report.UseControl, methodHistory, historyRequest{most})
+		if err == nil {
+			return entries, nil
+		}
+	}
+	return nil, code.New(code.TableUnavailable, "no member of the control quorum can be reached")
+}
+
+func (k *Controller) serveLocalHistory(ctx context.Context, most int) (entries []table.Entry) {
+	k.member.do(ctx, func(m *member, _ time.Time) { entries = m.state.Table().History(most) })
+	return entries
+}
+
+func (k *Controller) register(x *peer.Mux) {
+	peer.Handle(x, methodFetch, k.serveFetch)
+	peer.Handle(x, methodChanged, k.serveChanged)
+	if k.member == nil {
+		return
+	}
+	peer.Handle(x, methodMessage, func(ctx context.Context, _ vm.ID, msg quorum.Message) (struct{}, error) {
+		_ = k.member.ring.Put(ctx, func(m *member, now time.Time) { m.core.Receive(now, msg) })
+		return struct{}{}, nil
+	})
+	peer.Handle(x, methodPropose, func(ctx context.Context, _ vm.ID, p proposal) (reply, error) {
+		r, refusal := k.member.propose(ctx, p.Command)
+		if refusal != nil {
+			return reply{}, refusal
+		}
+		return r, nil
+	})
+	peer.Handle(x, methodIdentify, func(ctx context.Context, _ vm.ID, _ struct{}) (identity, error) {
+		return k.member.identify(ctx)
+	})
+	peer.Handle(x, methodHistory, func(ctx context.Context, _ vm.ID, r historyRequest) ([]table.Entry, error) {
+		return k.serveLocalHistory(ctx, r.Most), nil
+	})
+}
--- /dev/null
+++ b/tamarackpin/internal/dispatch/dispatcher.go
@@ -0,0 +1,361 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/code"
+	"tamarackpin.example/internal/estimate"
+	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/party"
+	"tamarackpin.example/internal/queue"
+	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/ring"
+	"tamarackpin.example/internal/table"
+	"tamarackpin.example/internal/target"
+	"tamarackpin.example/internal/wire"
+)
+
+// Sizes and times of the goroutine.
+const (
+	ringSize  = 4096
+	tickEvery = 20 * time.Millisecond
+	// burst is how many commands are taken in before slots are granted.
+	burst = 256
+)
+
+// Config is what a Dispatcher needs.
+type Config struct {
+	Recorder *report.Recorder
+	Log      *zap.Logger
+}
+
+// command is one message to the goroutine.
+type command func(d *Dispatcher, now time.Time)
+
+// Dispatcher is the goroutine. It must be made by [New]; its methods may be
+// called from any goroutine once [Dispatcher.Run] runs.
+type Dispatcher struct {
+	config  Config
+	ring    *ring.Ring[command]
+	stopped chan struct{}
+	once    sync.Once
+
+	// All below belongs to the goroutine of Run.
+	queue    queue.Queue
+	slots    target.Slots
+	health   target.Health
+	learned  estimate.Estimator
+	asked    map[queue.TaskID]asked
+	granted  map[queue.TaskID]target.ID
+	table    *table.Snapshot
+	live     []target.Lease
+	lastID   queue.TaskID
+	lastTick time.Time
+}
+
+// asked is a task that waits or runs, with whom to tell.
+type asked struct {
+	task  queue.Task
+	tell  func(Grant)
+	tries int
+}
+
+// New returns a Dispatcher that is not running yet.
+func New(c Config) *Dispatcher {
+	return &Dispatcher{
+		config:  c,
+		ring:    ring.New[command](ringSize),
+		stopped: make(chan struct{}),
+		asked:   make(map[queue.TaskID]asked),
+		granted: make(map[queue.TaskID]target.ID),
+		table:   &table.Snapshot{},
+	}
+}
+
+// Run serves the ring until ctx is done.
+func (d *Dispatcher) Run(ctx context.Context) {
+	defer d.once.Do(func() { close(d.stopped) })
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	d.lastTick = time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-d.ring.Out():
+			c(d, time.Now())
+			d.drain()
+		case <-tick.C:
+			d.tick(time.Now())
+		}
+		d.grant(time.Now())
+	}
+}
+
+// drain takes in what else waits in the ring, up to a burst.
+func (d *Dispatcher) drain() {
+	for range burst {
+		select {
+		case c := <-d.ring.Out():
+			c(d, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// do runs c in the goroutine and waits for it.
+func (d *Dispatcher) do(ctx context.Context, c command) *code.Error {
+	done := make(chan struct{})
+	err := d.ring.Put(ctx, func(d *Dispatcher, now time.Time) {
+		defer close(done)
+		c(d, now)
+	})
+	if err != nil {
+		return code.New(code.QueueFull, "the dispatcher is busy")
+	}
+	select {
+	case <-done:
+		return nil
+	case <-d.stopped:
+		return code.New(code.Draining, "this entry VM stopped")
+	}
+}
+
+// post runs c in the goroutine without waiting for it.
+func (d *Dispatcher) post(c command) {
+	select {
+	case <-d.stopped:
+	default:
+		_ = d.ring.Put(context.Background(), c)
+	}
+}
+
+// Add asks for slots for tasks of one row, all or none. The ids it returns are
+// for [Dispatcher.Cancel].
+func (d *Dispatcher) Add(ctx context.Context, tasks ...Asked) (ids []queue.TaskID, refusal *code.Error) {
+	return d.add(ctx, (*queue.Queue).Add, tasks)
+}
+
+// Resume asks for slots for tasks that were accepted before, by another
+// primary of their ledger; no limit refuses them.
+func (d *Dispatcher) Resume(ctx context.Context, tasks ...Asked) (ids []queue.TaskID, refusal *code.Error) {
+	return d.add(ctx, (*queue.Queue).Resume, tasks)
+}
+
+func (d *Dispatcher) add(ctx context.Context, into func(*queue.Queue, time.Time, ...queue.Task) *code.Error, tasks []Asked) (ids []queue.TaskID, refusal *code.Error) {
+	stopped := d.do(ctx, func(d *Dispatcher, now time.Time) {
+		batch := make([]queue.Task, len(tasks))
+		for i, a := range tasks {
+			d.lastID++
+			a.Task.ID = d.lastID
+			a.Task.Expected = d.learned.Expected(a.Task.Key, a.Declared)
+			batch[i] = a.Task
+			ids = append(ids, a.Task.ID)
+		}
+		if refusal = into(&d.queue, now, batch...); refusal != nil {
+			return
+		}
+		for i, a := range tasks {
+			d.asked[batch[i].ID] = asked{task: batch[i], tell: a.Tell}
+		}
+	})
+	if stopped != nil {
+		return nil, stopped
+	}
+	return ids, refusal
+}
+
+// Cancel takes back tasks that wait; those that were granted are left alone.
+// It returns how many were taken back.
+func (d *Dispatcher) Cancel(ctx context.Context, ids ...queue.TaskID) (taken int) {
+	_ = d.do(ctx, func(d *Dispatcher, _ time.Time) {
+		for _, id := range ids {
+			if d.queue.Remove(id) {
+				delete(d.asked, id)
+				taken++
+			}
+		}
+	})
+	return taken
+}
+
+// Done takes in how a granted task ended.
+func (d *Dispatcher) Done(e End) (s Settled) {
+	_ = d.do(context.Background(), func(d *Dispatcher, now time.Time) { s = d.end(now, e) })
+	return s
+}
+
+func (d *Dispatcher) end(now time.Time, e End) Settled {
+	a, ok := d.asked[e.Task]
+	if !ok {
+		return Settled{}
+	}
+	id := d.granted[e.Task]
+	delete(d.asked, e.Task)
+	delete(d.granted, e.Task)
+	d.slots.Release(id)
+	d.queue.Done(e.Task, e.Service)
+	d.judge(now, id, a.task.Key, e.Code)
+	if e.Code != code.OK {
+		return Settled{}
+	}
+	d.learned.Observe(a.task.Key, id, e.Service)
+	return Settled{Ideal: d.ideal(id, a.task.Key.Kind, e.Service)}
+}
+
+// judge settles what the end of a task says about its target.
+func (d *Dispatcher) judge(now time.Time, id target.ID, k party.Key, c code.Code) {
+	aside := d.health.Aside(id)
+	d.health.Observe(now, id, k, c == code.OK, len(d.live))
+	switch {
+	case d.health.Aside(id) && !aside:
+		event.Log(d.config.Log, event.TargetSetAside, zap.String("target", string(id)))
+	case !d.health.Aside(id) && aside:
+		event.Log(d.config.Log, event.TargetTrusted, zap.String("target", string(id)))
+	}
+}
+
+// ideal scales the time on one target to the fastest that runs kind k.
+func (d *Dispatcher) ideal(id target.ID, k party.Kind, service time.Duration) time.Duration {
+	speed, best := d.learned.Speed(id), 0.0
+	for _, l := range d.live {
+		if l.Runs(k) {
+			best = max(best, d.learned.Speed(l.Target))
+		}
+	}
+	if best <= speed {
+		return service
+	}
+	return time.Duration(float64(service) * speed / best)
+}
+
+// maxTries is how many targets may refuse a task as busy before its caller
+// hears of it.
+const maxTries = 8
+
+// Busy takes in that a granted task was not run: its target refused it, or
+// could not be reached. The task waits again, or is refused for good, and the
+// target gets nothing for the time avoid.
+func (d *Dispatcher) Busy(id queue.TaskID, avoid time.Duration) {
+	d.post(func(d *Dispatcher, now time.Time) {
+		a, ok := d.asked[id]
+		if !ok {
+			return
+		}
+		d.slots.Release(d.granted[id])
+		d.health.Avoid(now, d.granted[id], avoid)
+		delete(d.granted, id)
+		a.tries++
+		d.asked[id] = a
+		if a.tries < maxTries {
+			d.queue.Requeue(id)
+			return
+		}
+		d.queue.Done(id, 0)
+		delete(d.asked, id)
+		a.tell(Grant{Task: a.task, Refusal: code.New(code.TargetBusy, "%d targets refused the task unrun", a.tries)})
+	})
+}
+
+// SetTable puts a table in force.
+func (d *Dispatcher) SetTable(s *table.Snapshot, p queue.Place) {
+	d.post(func(d *Dispatcher, _ time.Time) {
+		d.table = s
+		d.queue.SetTable(s, p)
+	})
+}
+
+// SetTargets puts the live targets in force, and this entry VM's part of each.
+func (d *Dispatcher) SetTargets(live []target.Lease, part func(target.Lease) int) {
+	d.post(func(d *Dispatcher, _ time.Time) {
+		d.live = live
+		d.slots.Set(live, part)
+		d.queue.SetSlots(d.slots.Total())
+		known := make(map[target.ID]bool, len(live))
+		for _, l := range live {
+			known[l.Target] = true
+		}
+		d.health.Forget(func(id target.ID) bool { return known[id] })
+		d.learned.Forget(func(id target.ID) bool { return known[id] })
+	})
+}
+
+// Load returns the numbers of tasks that wait and that run.
+func (d *Dispatcher) Load(ctx context.Context) (waiting, running int) {
+	_ = d.do(ctx, func(d *Dispatcher, _ time.Time) { waiting, running = d.queue.Waiting(), d.queue.Running() })
+	return waiting, running
+}
+
+// Targets returns the live targets.
+func (d *Dispatcher) Targets(ctx context.Context) (states []TargetState) {
+	_ = d.do(ctx, func(d *Dispatcher, now time.Time) {
+		for _, l := range d.live {
+			states = append(states, TargetState{
+				Announcement: l.Announcement,
+				Usage:        d.slots.Usage(l.Target),
+				ExpiresIn:    wire.Duration(l.Expires.Sub(now)),
+				Speed:        d.learned.Speed(l.Target),
+				SetAside:     d.health.Aside(l.Target),
+			})
+		}
+	})
+	return states
+}
+
+// tick refuses what is overdue and counts idle slots.
+func (d *Dispatcher) tick(now time.Time) {
+	for _, t := range d.queue.Overdue(now) {
+		a := d.asked[t.ID]
+		delete(d.asked, t.ID)
+		a.tell(Grant{Task: t, Refusal: code.New(code.DeadlinePassed, "the task waited %s for a slot", now.Sub(t.Arrived).Round(time.Millisecond))})
+	}
+	total := d.slots.Total()
+	d.config.Recorder.Slots(now.Sub(d.lastTick), total, max(0, total-d.queue.Running()), d.queue.Waiting())
+	d.lastTick = now
+}
+
+// grant gives free slots to waiting tasks.
+func (d *Dispatcher) grant(now time.Time) {
+	speed := func(id target.ID) float64 {
+		if !d.health.Usable(now, id) {
+			return 0
+		}
+		return d.learned.Speed(id)
+	}
+	// full remembers the kinds that have no slot left in this round.
+	full := make(map[party.Kind]bool)
+	for d.queue.Waiting() > 0 {
+		var lease target.Lease
+		acquired := false
+		t, ok := d.queue.Next(now, func(k party.Kind) bool {
+			if full[k] {
+				return false
+			}
+			free := d.slots.Free(k, speed)
+			full[k] = !free
+			return free
+		})
+		if ok {
+			lease, acquired = d.slots.Acquire(t.Key.Kind, speed)
+		}
+		if !acquired {
+			return
+		}
+		d.tellGranted(now, t, lease)
+	}
+}
+
+func (d *Dispatcher) tellGranted(now time.Time, t queue.Task, lease target.Lease) {
+	d.health.Sent(now, lease.Target)
+	d.granted[t.ID] = lease.Target
+	limit := t.Deadline.Sub(now)
+	if row, ok := d.table.Row(t.Key); ok {
+		limit = min(limit, row.TimeLimit.Std())
+	}
+	d.asked[t.ID].tell(Grant{Task: t, Lease: lease, TimeLimit: limit})
+}
--- /dev/null
+++ b/tamarackpin/internal/peer/mesh.go
@@ -0,0 +1,216 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"tamarackpin.example/internal/code"
+	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/vm"
+)
+
+// Times of a Mesh.
+const (
+	dialTimeout  = time.Second
+	redialAfter  = 100 * time.Millisecond // least time between two dials of one entry VM
+	helloTimeout = time.Second
+	// failuresToRedial is how many calls in a row may time out before the
+	// connection is taken for dead.
+	failuresToRedial = 3
+)
+
+// ErrNotSent marks the failure of a call of which no byte left.
+var ErrNotSent = errors.New("not sent")
+
+// Mesh makes calls to other entry VMs, over one connection to each. It is safe
+// for concurrent use.
+type Mesh struct {
+	Self      vm.ID
+	Addresses map[vm.ID]string
+	TLS       *tls.Config // nil without TLS
+	Recorder  *report.Recorder
+
+	mu    sync.Mutex // guards links
+	links map[vm.ID]*link
+}
+
+// link is the connection to one entry VM.
+type link struct {
+	mu       sync.Mutex // guards all below; held while dialling, so that one dial serves all
+	conn     *jsonrpc2.Conn
+	dialled  time.Time
+	failures int
+}
+
+func (m *Mesh) link(to vm.ID) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links == nil {
+		m.links = make(map[vm.ID]*link)
+	}
+	l := m.links[to]
+	if l == nil {
+		l = &link{}
+		m.links[to] = l
+	}
+	return l
+}
+
+// Call makes one call and waits for its result. A refusal by the other side is
+// a [code.Error]; an error marked [ErrNotSent] says that the call never left;
+// any other error leaves open whether it was served.
+func Call[Result any](ctx context.Context, m *Mesh, to vm.ID, use report.Use, method Method, params any) (Result, error) {
+	var result Result
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return result, errors.Wrapf(err, "encoding the parameters of %s", method)
+	}
+	conn, l, err := m.connect(ctx, to)
+	if err != nil {
+		return result, errors.Mark(err, ErrNotSent)
+	}
+	m.Recorder.Message(use, 1, 0, len(raw))
+	err = conn.Call(ctx, string(method), json.RawMessage(raw), &result)
+	var rpc *jsonrpc2.Error
+	if errors.As(err, &rpc) {
+		l.answered()
+		return result, ofRPC(rpc)
+	}
+	if err != nil {
+		m.Recorder.Message(use, 0, 1, 0)
+		l.failed(conn, errors.Is(err, context.Canceled))
+		return result, errors.Wrapf(err, "calling %s of %s", method, to)
+	}
+	l.answered()
+	return result, nil
+}
+
+// Notify sends a call that has no result. It may be lost.
+func (m *Mesh) Notify(ctx context.Context, to vm.ID, use report.Use, method Method, params any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return errors.Wrapf(err, "encoding the parameters of %s", method)
+	}
+	conn, l, err := m.connect(ctx, to)
+	if err != nil {
+		return errors.Mark(err, ErrNotSent)
+	}
+	m.Recorder.Message(use, 1, 0, len(raw))
+	if err := conn.Notify(ctx, string(method), json.RawMessage(raw)); err != nil {
+		l.failed(conn, false)
+		return errors.Wrapf(err, "notifying %s of %s", method, to)
+	}
+	return nil
+}
+
+// connect returns the connection to an entry VM, dialling it if need be.
+func (m *Mesh) connect(ctx context.Context, to vm.ID) (*jsonrpc2.Conn, *link, error) {
+	l := m.link(to)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		select {
+		case <-l.conn.DisconnectNotify():
+			l.conn = nil
+		default:
+			return l.conn, l, nil
+		}
+	}
+	if time.Since(l.dialled) < redialAfter {
+		return nil, nil, errors.Newf("entry VM %s did not answer a moment ago", to)
+	}
+	defer func() { l.dialled = time.Now() }()
+	conn, err := m.dial(ctx, to)
+	if err != nil {
+		return nil, nil, err
+	}
+	l.conn, l.failures = conn, 0
+	return conn, l, nil
+}
+
+func (m *Mesh) dial(ctx context.Context, to vm.ID) (*jsonrpc2.Conn, error) {
+	address, ok := m.Addresses[to]
+	if !ok {
+		return nil, errors.Newf("entry VM %s is not in the settings", to)
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := m.dialTCP(dialCtx, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connecting to entry VM %s", to)
+	}
+	conn := open(context.Background(), c, silent{})
+	helloCtx, cancelHello := context.WithTimeout(ctx, helloTimeout)
+	defer cancelHello()
+	if err := conn.Call(helloCtx, string(methodHello), hello{ProtocolVersion, m.Self, to}, nil); err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrapf(err, "greeting entry VM %s", to)
+	}
+	return conn, nil
+}
+
+func (m *Mesh) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	if m.TLS == nil {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	return (&tls.Dialer{Config: m.TLS}).DialContext(ctx, "tcp", address)
+}
+
+// Close closes all connections.
+func (m *Mesh) Close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		l.mu.Lock()
+		if l.conn != nil {
+			_ = l.conn.Close()
+		}
+		l.mu.Unlock()
+	}
+}
+
+func (l *link) answered() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = 0
+}
+
+// failed closes a connection on which several calls in a row had no answer, so
+// that the next call dials anew.
+func (l *link) failed(conn *jsonrpc2.Conn, byCaller bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != conn || byCaller {
+		return
+	}
+	l.failures++
+	if l.failures >= failuresToRedial {
+		_ = conn.Close()
+		l.conn = nil
+	}
+}
+
+// silent serves no calls: they come on connections that the other side opens.
+type silent struct{}
+
+// Handle drops the call.
+func (silent) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
+
+// Refusal returns the refusal that the other side answered, if err is one.
+func Refusal(err error) (*code.Error, bool) {
+	var e *code.Error
+	if errors.As(err, &e) {
+		return e, true
+	}
+	return nil, false
+}
+
+// NotSent reports whether err says that a call never left.
+func NotSent(err error) bool { return errors.Is(err, ErrNotSent) }
