--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -66,7 +66,7 @@
 func FuzzParseRecords(f *testing.F) {
 	one, two := opened(1, 3), Record{Kind: Started, Sequence: sequence(1), Count: 2}
 	f.Add(two.Append(one.Append(nil)))
-	f.Fuzz(func(t *testing.T, b []byte) {
+	f.Fuzz(func(_ *testing.T, b []byte) {
 		records, err := ParseRecords(b)
 		if err != nil {
 			return
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -23,8 +23,10 @@
 func key(p string) party.Key { return party.Key{Party: party.ID(p), Kind: party.Kind("kind-" + p)} }
 
 func row(p string, weight int, urgent bool, inFlight, queue int) table.Row {
-	return table.Row{Key: key(p), Weight: weight, Urgent: urgent, MaxInFlight: inFlight, MaxQueue: queue,
-		Deadline: wire.Duration(time.Minute), TimeLimit: wire.Duration(time.Minute)}
+	return table.Row{
+		Key: key(p), Weight: weight, Urgent: urgent, MaxInFlight: inFlight, MaxQueue: queue,
+		Deadline: wire.Duration(time.Minute), TimeLimit: wire.Duration(time.Minute),
+	}
 }
 
 func newQueue(t testing.TB, rows ...table.Row) *Queue {
@@ -132,9 +134,11 @@
 		for i := range rapid.IntRange(1, 120).Draw(r, "steps") {
 			switch rapid.IntRange(0, 2).Draw(r, "what") {
 			case 0:
-				task := Task{ID: TaskID(i + 1), Key: key(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "row")),
+				task := Task{
+					ID: TaskID(i + 1), Key: key(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "row")),
 					Arrived: start, Deadline: start.Add(time.Hour + time.Duration(rapid.IntRange(0, 3).Draw(r, "deadline"))*time.Second),
-					Expected: time.Duration(rapid.IntRange(1, 4).Draw(r, "expected")) * 64 * time.Millisecond}
+					Expected: time.Duration(rapid.IntRange(1, 4).Draw(r, "expected")) * 64 * time.Millisecond,
+				}
 				if got, want := q.Add(start, task) == nil, n.add(task); got != want {
 					r.Fatalf("task %+v taken: %v, want %v", task, got, want)
 				}
--- a/tamarackpin/internal/controller/member.go
+++ b/tamarackpin/internal/controller/member.go
@@ -120,6 +120,7 @@
 			now := time.Now()
 			m.core.Tick(now)
 			m.planner.plan(now, m)
+			m.adopt()
 		}
 		if err := m.settle(ctx); err != nil {
 			return err
@@ -225,37 +226,48 @@
 // apply takes committed entries into the state and answers their proposers.
 func (m *member) apply(ctx context.Context, r quorum.Ready) error {
 	before := m.state.Index()
+	results := make([]control.Result, len(r.Committed))
 	if r.Install != nil {
 		if err := m.restore(r.Install.Data); err != nil {
 			return err
 		}
 	}
-	for _, e := range r.Committed {
-		var result control.Result
+	for i, e := range r.Committed {
 		if len(e.Data) > 0 {
 			var c control.Command
 			if err := json.Unmarshal(e.Data, &c); err != nil {
 				return errors.Wrapf(err, "decoding control entry %d", e.Index)
 			}
-			result = m.state.Apply(e.Index, c)
+			results[i] = m.state.Apply(e.Index, c)
 		}
 		if e.Config != nil {
 			event.Log(m.k.config.Log, event.MemberChanged, zap.Any("config", e.Config))
 		}
-		m.answer(e, result)
 	}
-	if m.state.Index() == before {
-		return nil
-	}
-	if err := m.k.adoptUpdate(m.state.Update(m.k.View().Table.Version())); err != nil {
-		return errors.Wrap(err, "putting a view in force")
+	if m.state.Index() != before {
+		m.adopt()
+		if m.core.Role() == quorum.Leader {
+			m.k.tell(ctx, uint64(m.state.Index()))
+		}
 	}
-	if m.core.Role() == quorum.Leader {
-		m.k.tell(ctx, uint64(m.state.Index()))
+	for i, e := range r.Committed {
+		m.answer(e, results[i])
 	}
 	return nil
 }
 
+// adopt puts the state in force here, if it is not yet. Where the disk is full,
+// that fails, and is tried again at the next tick; the entry VM acts on the View
+// that it has.
+func (m *member) adopt() {
+	if m.state.Index() <= m.k.View().Index {
+		return
+	}
+	if err := m.k.adoptUpdate(m.state.Update(m.k.View().Table.Version())); err != nil {
+		m.k.config.Log.Debug("putting a view in force failed", zap.Error(err))
+	}
+}
+
 // answer tells the proposer of the entry at e.Index what became of it.
 func (m *member) answer(e quorum.Entry, result control.Result) {
 	w, ok := m.waiting[e.Index]
--- a/tamarackpin/internal/controller/propose.go
+++ b/tamarackpin/internal/controller/propose.go
@@ -42,6 +42,7 @@
 		case err != nil:
 			return control.Result{}, err
 		case r.Leads:
+			k.follow(ctx, to, r.Result.Index)
 			return r.Result, r.Result.Refusal
 		case r.Leader != "" && r.Leader != to:
 			k.leader.Store(&r.Leader)
@@ -124,6 +125,25 @@
 	return reply{}, code.New(code.TableOutcomeUnsure, "the change was not decided in time")
 }
 
+// followTimeout bounds how long a proposer waits for its own View.
+const followTimeout = time.Second
+
+// follow waits a little until the View in force here is as late as index, so
+// that a proposer sees what it changed. It reports whether it is.
+func (k *Controller) follow(ctx context.Context, leader vm.ID, index quorum.Index) bool {
+	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	for k.View().Index < index {
+		k.fetches.Offer(leader)
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(retryEvery):
+		}
+	}
+	return true
+}
+
 // Confirm returns once the View in force is at least as late as the state of
 // the quorum when it was called.
 func (k *Controller) Confirm(ctx context.Context) *code.Error {
@@ -131,13 +151,8 @@
 	if refusal != nil {
 		return refusal
 	}
-	for k.View().Index < result.Index {
-		k.fetches.Offer(k.mayLead(0))
-		select {
-		case <-ctx.Done():
-			return code.New(code.NotReady, "the view of index %d did not arrive", result.Index)
-		case <-time.After(retryEvery):
-		}
+	if !k.follow(ctx, k.mayLead(0), result.Index) {
+		return code.New(code.NotReady, "the view of index %d did not arrive", result.Index)
 	}
 	return nil
 }
--- a/tamarackpin/internal/jsonhttp/jsonhttp.go
+++ b/tamarackpin/internal/jsonhttp/jsonhttp.go
@@ -69,11 +69,15 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(timeout)) // a server that cannot is a test's
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
+	if err != nil {
+		// The server must not read the rest of the body before it replies.
+		w.Header().Set("Connection", "close")
+	}
 	var tooLarge *http.MaxBytesError
 	var timedOut net.Error
 	switch {
 	case err == nil:
+		_ = control.SetReadDeadline(time.Time{})
 		return b, nil
 	case errors.As(err, &tooLarge):
 		_, _ = io.CopyN(io.Discard, r.Body, drainAfterFault)
--- /dev/null
+++ b/tamarackpin/internal/peer/peer_test.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/code"
+	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/vm"
+)
+
+// echoed is a call of the tests.
+type echoed struct {
+	Texts []string `json:"texts"`
+}
+
+// Check refuses an empty call.
+func (e echoed) Check() error {
+	if len(e.Texts) == 0 {
+		return errors.New("no texts")
+	}
+	return nil
+}
+
+// serveEcho serves one entry VM, and returns a mesh of another towards it.
+func serveEcho(t testing.TB, from vm.ID) *Mesh {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var x Mux
+	Handle(&x, "echo", func(_ context.Context, _ vm.ID, e echoed) (echoed, error) { return e, nil })
+	Handle(&x, "refuse", func(context.Context, vm.ID, echoed) (echoed, error) {
+		return echoed{}, code.New(code.QueueFull, "full")
+	})
+	Handle(&x, "hang", func(ctx context.Context, _ vm.ID, _ echoed) (echoed, error) {
+		<-ctx.Done()
+		return echoed{}, nil
+	})
+	s := &Server{Self: "vm1", Mux: &x, Log: zap.NewNop(), Known: func(id vm.ID) bool { return id == "vm0" }}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ctx, l)
+	}()
+	m := &Mesh{Self: from, Addresses: map[vm.ID]string{"vm1": l.Addr().String()}, Recorder: &report.Recorder{}}
+	t.Cleanup(func() {
+		m.Close()
+		stop()
+		<-done
+	})
+	return m
+}
+
+func TestCallsAndRefusals(t *testing.T) {
+	m := serveEcho(t, "vm0")
+	ctx := context.Background()
+	got, err := Call[echoed](ctx, m, "vm1", report.UseOther, "echo", echoed{[]string{"a"}})
+	if err != nil || len(got.Texts) != 1 {
+		t.Errorf("%v, %v", got, err)
+	}
+	for method, want := range map[Method]code.Code{"refuse": code.QueueFull, "unheard": code.NotFound} {
+		_, err := Call[echoed](ctx, m, "vm1", report.UseOther, method, echoed{[]string{"a"}})
+		if e, ok := Refusal(err); !ok || e.Code != want {
+			t.Errorf("%s: %v", method, err)
+		}
+	}
+	_, err = Call[echoed](ctx, m, "vm1", report.UseOther, "echo", echoed{})
+	if e, ok := Refusal(err); !ok || e.Code != code.BadField {
+		t.Errorf("parameters that do not check: %v", err)
+	}
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	_, err = Call[echoed](short, m, "vm1", report.UseOther, "hang", echoed{[]string{"a"}})
+	if _, refused := Refusal(err); err == nil || refused || NotSent(err) {
+		t.Errorf("a call without an answer: %v", err)
+	}
+}
+
+// TestStrangersAreRefused: only entry VMs of the settings speak here.
+func TestStrangersAreRefused(t *testing.T) {
+	m := serveEcho(t, "vm9")
+	_, err := Call[echoed](context.Background(), m, "vm1", report.UseOther, "echo", echoed{[]string{"a"}})
+	if !NotSent(err) {
+		t.Errorf("a stranger's call: %v", err)
+	}
+	_, err = Call[echoed](context.Background(), m, "vm7", report.UseOther, "echo", echoed{[]string{"a"}})
+	if !NotSent(err) {
+		t.Errorf("a call to a stranger: %v", err)
+	}
+}
+
+// BenchmarkCall measures one call with parts of 32 bytes, one after the other
+// and from 32 goroutines at once.
+func BenchmarkCall(b *testing.B) {
+	for _, parts := range []int{1, 16, 128} {
+		params := echoed{}
+		for range parts {
+			params.Texts = append(params.Texts, strings.Repeat("x", 32))
+		}
+		b.Run(fmt.Sprint(parts, "parts"), func(b *testing.B) {
+			m := serveEcho(b, "vm0")
+			for b.Loop() {
+				if _, err := Call[echoed](context.Background(), m, "vm1", report.UseOther, "echo", params); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprint(parts, "parts,32 at once"), func(b *testing.B) {
+			m := serveEcho(b, "vm0")
+			b.SetParallelism(4)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if _, err := Call[echoed](context.Background(), m, "vm1", report.UseOther, "echo", params); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		})
+	}
+}
--- a/tamarackpinload/internal/load/load.go
+++ b/tamarackpinload/internal/load/load.go
@@ -58,6 +58,7 @@
 			at := time.Now()
 			o := p.send(ctx, e, fmt.Sprintf("%s-%d", p.Run, i), entry)
 			o.Took = time.Since(at)
+			o.Works = works(e, fmt.Sprintf("%s-%d", p.Run, i))
 			o.Ideal = p.ideal(e)
 			results.add(e, o)
 		})
@@ -66,6 +67,18 @@
 	return results
 }
 
+// works returns the ids of the pieces of work of e.
+func works(e trace.Event, name string) []string {
+	if !e.Submission() {
+		return []string{name}
+	}
+	ids := make([]string, len(e.Work))
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%s.%d", name, i)
+	}
+	return ids
+}
+
 // ideal is the time on an idle system: the longest task on the fastest target.
 func (p *Player) ideal(e trace.Event) time.Duration {
 	var longest time.Duration
--- a/tamarackpinload/internal/load/results.go
+++ b/tamarackpinload/internal/load/results.go
@@ -18,6 +18,7 @@
 
 // Outcome is what became of one event.
 type Outcome struct {
+	Works         []string  // ids of its pieces of work
 	Code          code.Code // 0 if there was no reply
 	Outcome       code.Outcome
 	Lost          bool // no reply arrived
@@ -49,6 +50,8 @@
 	codes         map[code.Code]int
 	resubmissions int
 	faults        []string
+	idempotent    map[string]bool // by piece of work
+	notRun        []string        // pieces of work that were said not to have run
 }
 
 func (r *Results) add(e trace.Event, o Outcome) {
@@ -57,6 +60,13 @@
 	if r.kinds == nil {
 		r.kinds = make(map[party.Kind]*Kind)
 		r.codes = make(map[code.Code]int)
+		r.idempotent = make(map[string]bool)
+	}
+	for _, w := range o.Works {
+		r.idempotent[w] = e.Idempotent
+	}
+	if !o.Lost && o.Outcome == code.NotRun {
+		r.notRun = append(r.notRun, o.Works...)
 	}
 	k := r.kinds[e.Kind]
 	if k == nil {
@@ -113,6 +123,20 @@
 	return maps.Clone(r.codes)
 }
 
+// Idempotent reports whether a piece of work may run twice.
+func (r *Results) Idempotent(work string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.idempotent[work]
+}
+
+// SaidNotRun returns the pieces of work that were said not to have run.
+func (r *Results) SaidNotRun() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.notRun)
+}
+
 // Faults returns what was wrong with answers.
 func (r *Results) Faults() []string {
 	r.mu.Lock()
--- a/tamarackpinload/internal/standin/record.go
+++ b/tamarackpinload/internal/standin/record.go
@@ -20,6 +20,7 @@
 type Record struct {
 	mu     sync.Mutex // guards all below
 	starts map[string][]Start
+	last   map[string]time.Time // by target
 	count  int
 }
 
@@ -29,7 +30,9 @@
 	defer r.mu.Unlock()
 	if r.starts == nil {
 		r.starts = make(map[string][]Start)
+		r.last = make(map[string]time.Time)
 	}
+	r.last[s.Target] = s.At
 	r.starts[s.Work] = append(r.starts[s.Work], s)
 	r.count++
 }
@@ -41,6 +44,13 @@
 	return slices.Clone(r.starts[work])
 }
 
+// Last returns when a target last started a task.
+func (r *Record) Last(target string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last[target]
+}
+
 // Summary is what a Record comes to.
 type Summary struct {
 	Starts  int       `json:"starts"`
--- a/tamarackpinload/internal/standin/target.go
+++ b/tamarackpinload/internal/standin/target.go
@@ -44,6 +44,8 @@
 	sequence    atomic.Uint64
 	running     atomic.Int64
 	leaving     atomic.Bool
+	gone        chan struct{} // closed to end Run
+	once        sync.Once
 	announcer   *http.Client
 }
 
@@ -76,6 +78,7 @@
 		listener:    l,
 		incarnation: vm.Incarnation(time.Now().UnixNano()),
 		announcer:   &http.Client{Timeout: time.Second},
+		gone:        make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+target.TaskPath, t.serve)
@@ -97,6 +100,8 @@
 		case <-ctx.Done():
 			t.Leave()
 			return
+		case <-t.gone:
+			return
 		case <-ticker.C:
 		}
 	}
@@ -108,8 +113,17 @@
 	t.announce()
 }
 
+// Quit leaves in order and ends the announcements; tasks are still served.
+func (t *Target) Quit() {
+	t.Leave()
+	t.once.Do(func() { close(t.gone) })
+}
+
 // Kill closes everything at once, without a word.
-func (t *Target) Kill() { _ = t.server.Close() }
+func (t *Target) Kill() {
+	t.once.Do(func() { close(t.gone) })
+	_ = t.server.Close()
+}
 
 // announce tells one entry VM after the other until one takes it, as through
 // a balancer.
