--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -273,3 +273,24 @@
 		}
 	})
 }
+
+// BenchmarkSave measures one synced write, alone and as a group that shares it.
+func BenchmarkSave(b *testing.B) {
+	for _, group := range []int{1, 32} {
+		b.Run(fmt.Sprint(group, "entries"), func(b *testing.B) {
+			l, _ := open(b, b.TempDir())
+			defer l.Close()
+			next := 1
+			for b.Loop() {
+				var entries []quorum.Entry
+				for range group {
+					entries = append(entries, entry(next, 1))
+					next++
+				}
+				if err := l.Save(nil, entries); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -74,6 +74,10 @@
 has_table() { ctl "$1" status | grep -q 'table version 1'; }
 for i in 0 1 2 3 4 5 6; do until_ok 5 has_table $i; done
 
+target=$(ctl 0 targets | awk 'NR == 2 {print $2}')
+bin/tamarackpinload experiment overhead --entry 127.0.0.1:7200 --target "$target" --requests 3000
+echo
+
 if $kill_one; then
   ( sleep 4; kill -9 "$vm1_pid"; echo "killed entry VM vm1 (of durban-a)" ) &
   pids+=($!)
--- a/tamarackpinload/internal/cmd/cmd.go
+++ b/tamarackpinload/internal/cmd/cmd.go
@@ -22,6 +22,8 @@
 	Run     runCommand     `command:"run" description:"Make a workload's trace and play it against entry VMs."`
 	Record  recordCommand  `command:"record" description:"Make a workload's trace and write it to a file."`
 	Replay  replayCommand  `command:"replay" description:"Play a recorded trace against entry VMs."`
+
+	Experiment experimentCommand `command:"experiment" description:"Measure, comparing two ways in one run."`
 }
 
 // ErrWrong is returned when a run broke a promise of the system.
@@ -32,6 +34,7 @@
 	var o options
 	o.Targets.stderr = stderr
 	o.Run.stdout, o.Record.stdout, o.Replay.stdout = stdout, stdout, stdout
+	o.Experiment.Overhead.stdout = stdout
 	p := flags.NewNamedParser("tamarackpinload", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = "Stand-in targets, callers, traces and experiments for tamarackpin. Load goes to the given addresses only. Exit codes: 0 done, 1 a promise was broken or the run failed, 2 wrong arguments."
 	if _, err := p.AddGroup("Commands", "", &o); err != nil {
