Empty ledgers get their backup, a stale witness takes nothing over, results on disk

Causes, each found by a test on seven processes: - A joining copy of an empty ledger whose first batch was lost was never sent another: "acknowledged up to 0" was taken for "holds the state" (TestCutTable, and once TestOneWayCuts: no backup 20 s after all was mended). - When a failure domain is cut off, its entry VMs fall silent one after the other; for up to 0.4 s the quorum saw a ledger's backup alive and its primary dead, and gave it the ledger. After healing a task in doubt failed a submission (TestCutFailureDomain, 1 of 3,898). A witness must now have been heard within 0.8 s. - A change proposed to a member that is silent is unsure, though nobody took it; only members that are heard are asked now.

Ruled out: a lost acknowledgement, and a joining copy that does not know its assignment (the printed ledgers show it as joining, under the newest epoch).

Also: results of submissions are kept on disk behind the ledgers, so that a lost generation still tells what had finished. TestLostLedgers is red: the result is not found yet.

Before: healing left a ledger without backup for good.

--- a/internal/control/ledger_test.go
+++ b/internal/control/ledger_test.go
@@ -147,7 +147,7 @@
 	var living []vm.State
 	for _, n := range w.nodes {
 		if w.random.IntN(12) > 0 {
-			living = append(living, vm.State{Heartbeat: vm.Heartbeat{VM: n.self.VM, FailureDomain: theDomain, Incarnation: n.self.Incarnation}})
+			living = append(living, vm.State{Heard: w.now, Heartbeat: vm.Heartbeat{VM: n.self.VM, FailureDomain: theDomain, Incarnation: n.self.Incarnation}})
 		}
 	}
 	for _, a := range w.planner.Plan(w.now, &w.state, []vm.FailureDomain{theDomain}, living) {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -15,6 +15,11 @@
 // holds its state, while others of the failure domain are there.
 const AbandonAfter = time.Minute
 
+// freshWithin is how recently an entry VM must have been heard for another to
+// be replaced in its favour. Of two that are cut off together one falls silent a
+// little earlier; the other is no witness that only the first is gone.
+const freshWithin = vm.DeadAfter - 2*vm.HeartbeatEvery
+
 // Planner repairs the assignments of ledgers for the quorum's leader. It is
 // not safe for concurrent use.
 type Planner struct {
@@ -48,10 +53,16 @@
 	}
 	if p.alive(a.Primary) {
 		delete(p.silent, id)
+		if !p.fresh(now, a.Primary) {
+			return a, false
+		}
 		return p.repair(a)
 	}
 	if p.alive(a.Backup) {
 		delete(p.silent, id)
+		if !p.fresh(now, a.Backup) {
+			return a, false
+		}
 		return advance(a, func(n *ledger.Assignment) {
 			n.Primary, n.Backup, n.Joining = a.Backup, ledger.Holder{}, ledger.Holder{}
 		}), true
@@ -159,6 +170,11 @@
 	return !h.IsZero() && slices.ContainsFunc(p.VMs, func(s vm.State) bool { return holder(s) == h })
 }
 
+// fresh reports whether h was heard a moment ago.
+func (p *Planner) fresh(now time.Time, h ledger.Holder) bool {
+	return slices.ContainsFunc(p.VMs, func(s vm.State) bool { return holder(s) == h && now.Sub(s.Heard) < freshWithin })
+}
+
 // superseded reports whether a later run of h's VM is alive.
 func (p *Planner) superseded(h ledger.Holder) bool {
 	return slices.ContainsFunc(p.VMs, func(s vm.State) bool {
--- a/internal/control/view_test.go
+++ b/internal/control/view_test.go
@@ -128,7 +128,7 @@
 // TestPlanFollowsDeaths: a ledger gets a backup, and moves on when holders die.
 func TestPlanFollowsDeaths(t *testing.T) {
 	beat := func(id vm.ID, incarnation vm.Incarnation) vm.State {
-		return vm.State{Heartbeat: vm.Heartbeat{VM: id, FailureDomain: "arusha", Incarnation: incarnation}}
+		return vm.State{Heard: theStart, Heartbeat: vm.Heartbeat{VM: id, FailureDomain: "arusha", Incarnation: incarnation}}
 	}
 	var s State
 	p := Planner{Ledgers: 1}
@@ -158,3 +158,30 @@
 		t.Fatalf("after the only copy restarted %+v", a)
 	}
 }
+
+// TestPlanDoesNotTrustAStaleWitness: two holders that are cut off together fall
+// silent one after the other. That alone must not make the second primary
+// (TestCutFailureDomain failed a submission so).
+func TestPlanDoesNotTrustAStaleWitness(t *testing.T) {
+	var s State
+	p := Planner{Ledgers: 1}
+	state := func(id vm.ID, heard time.Time) vm.State {
+		return vm.State{Heard: heard, Heartbeat: vm.Heartbeat{VM: id, FailureDomain: "arusha", Incarnation: 1}}
+	}
+	domains := []vm.FailureDomain{"arusha"}
+	for _, a := range p.Plan(theStart, &s, domains, []vm.State{state("vm0", theStart), state("vm1", theStart)}) {
+		s.Apply(1, Command{Assign: &a})
+	}
+	a, _ := s.Assignment(submission.LedgerID{FailureDomain: "arusha"})
+	heard := theStart.Add(vm.HeartbeatEvery)
+	now := theStart.Add(vm.DeadAfter)
+	if plan := p.Plan(now, &s, domains, []vm.State{state(a.Backup.VM, heard)}); len(plan) > 0 {
+		t.Errorf("a backup that was heard %s ago takes over: %+v", now.Sub(heard), plan)
+	}
+	if plan := p.Plan(now, &s, domains, []vm.State{state(a.Backup.VM, now)}); len(plan) != 1 || plan[0].Next.Primary != a.Backup {
+		t.Errorf("a backup that is heard does not take over: %+v", plan)
+	}
+	if plan := p.Plan(now, &s, domains, []vm.State{state(a.Primary.VM, heard)}); len(plan) > 0 {
+		t.Errorf("a primary that was heard %s ago loses its backup: %+v", now.Sub(heard), plan)
+	}
+}
--- a/internal/disk/file.go
+++ b/internal/disk/file.go
@@ -1,5 +1,6 @@
-// Package disk writes whole files so that they survive a loss of power. What
-// is appended to a log is written by package wal.
+// Package disk writes whole files so that they survive a loss of power, and
+// holds the frames that logs are made of. Packages wal and archive are built on
+// it.
 package disk
 
 import (
--- a/internal/ledger/copy.go
+++ b/internal/ledger/copy.go
@@ -21,7 +21,8 @@
 type follower struct {
 	holder   Holder
 	acked    Position
-	seen     bool // it holds the state, by transfer or as a backup of earlier epochs
+	sent     bool // the state is on its way to it, and the records since are logged
+	held     bool // it acknowledged the state
 	required bool // no start takes effect without its acknowledgement
 	// since is the position from which it is required: once all before is
 	// acknowledged, the quorum may make it the backup.
@@ -161,7 +162,7 @@
 		if err := c.ledger.Apply(now, r); err != nil {
 			return 0, errors.Wrapf(err, "ledger %s at %d", c.assignment.Ledger, c.next)
 		}
-		if c.follower != nil && c.follower.seen {
+		if c.follower != nil && c.follower.sent {
 			c.log = append(c.log, logged{c.next, r.Append(nil)})
 		}
 		c.next++
@@ -175,7 +176,7 @@
 		return false
 	}
 	f := c.follower
-	return f == nil || !f.required || f.acked >= p
+	return f == nil || !f.required || f.held && f.acked >= p
 }
 
 // Batch returns what the follower is to be sent next, and to whom. There is
@@ -186,7 +187,7 @@
 		return Append{}, Holder{}, false
 	}
 	m = Append{Ledger: c.assignment.Ledger, Generation: c.assignment.Generation, Epoch: c.assignment.Epoch}
-	if !f.seen {
+	if !f.sent {
 		return c.transfer(now, m)
 	}
 	if len(c.log) == 0 {
@@ -210,7 +211,7 @@
 	for _, r := range c.ledger.Records(now) {
 		m.Records = r.Append(m.Records)
 	}
-	c.follower.seen = true
+	c.follower.sent = true
 	c.log = nil
 	return m, c.follower.holder, true
 }
@@ -226,9 +227,10 @@
 		return false
 	}
 	if a.NeedState {
-		f.seen = false
+		f.sent, f.held = false, false
 		return false
 	}
+	f.held = true
 	f.acked = max(f.acked, a.Next)
 	for len(c.log) > 0 && c.log[0].at < f.acked {
 		c.log = c.log[1:]
@@ -247,10 +249,10 @@
 }
 
 // Unsent tells that the batch last returned may not have arrived; a transfer
-// is then sent anew.
+// that was not acknowledged is then sent anew, also that of an empty ledger.
 func (c *Copy) Unsent(m Append) {
-	if f := c.follower; f != nil && m.Transfer && f.acked < m.First {
-		f.seen = false
+	if f := c.follower; f != nil && m.Transfer && !f.held {
+		f.sent = false
 	}
 }
 
@@ -291,6 +293,7 @@
 			return errors.Wrapf(err, "ledger %s: transferred state", c.assignment.Ledger)
 		}
 	}
+	c.ledger.TakeResults() // they are the primary's, from long ago
 	c.holds, c.damaged, c.next = true, false, at
 	return nil
 }
@@ -311,7 +314,7 @@
 // Behind reports whether the follower lacks records or the state.
 func (c *Copy) Behind() bool {
 	f := c.follower
-	return c.role == Primary && f != nil && (!f.seen || f.acked < c.next)
+	return c.role == Primary && f != nil && (!f.held || f.acked < c.next)
 }
 
 // Blocked reports whether records wait for a required follower.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -24,7 +24,8 @@
 	// up to it may have been known once.
 	watermark submission.Sequence
 	bytes     int
-	openBytes int // of bytes, those of running submissions
+	openBytes int                   // of bytes, those of running submissions
+	results   []submission.Sequence // finished since TakeResults
 }
 
 // Entry returns what is known of s.
@@ -65,6 +66,13 @@
 	return open
 }
 
+// TakeResults returns the submissions that finished since the last call.
+func (l *Ledger) TakeResults() []submission.Sequence {
+	results := l.results
+	l.results = nil
+	return results
+}
+
 // Apply takes in one record. An error means that the record does not follow
 // from those before it; the Ledger is then unchanged.
 func (l *Ledger) Apply(now time.Time, r Record) error {
@@ -193,6 +201,7 @@
 		l.dropAnswers(e)
 	}
 	l.finished = append(l.finished, e.Sequence)
+	l.results = append(l.results, e.Sequence)
 	return nil
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -206,6 +206,26 @@
 	}
 }
 
+// TestTransferOfAnEmptyLedgerIsSentAgain: a joining copy of a ledger without
+// records must not be forgotten when its first batch is lost (found by
+// TestCutTable and TestOneWayCuts, issue 4).
+func TestTransferOfAnEmptyLedgerIsSentAgain(t *testing.T) {
+	p, b := Holder{"vm0", 1}, Holder{"vm1", 1}
+	primary := NewCopy(p)
+	primary.Assign(Assignment{Generation: 1, Epoch: 1, Primary: p, Joining: b})
+	for range 3 {
+		m, to, ok := primary.Batch(start)
+		if !ok || !m.Transfer || to != b || !primary.Behind() {
+			t.Fatalf("batch %+v to %v: %v, behind %v", m, to, ok, primary.Behind())
+		}
+		primary.Unsent(m)
+	}
+	primary.Batch(start)
+	if promote := primary.Acknowledged(b, Ack{Generation: 1, Epoch: 1, Accepted: true}); !promote || primary.Behind() {
+		t.Errorf("promote %v, behind %v", promote, primary.Behind())
+	}
+}
+
 // BenchmarkRecord measures what one start record costs to write and to read.
 func BenchmarkRecord(b *testing.B) {
 	one := Record{Kind: Started, Sequence: sequence(123456), Task: 1234, Count: 1}
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding log entries")
 	}
-	frame := appendFrame(nil, payload)
+	frame := disk.AppendFrame(nil, payload)
 	if _, err := l.Write(l.file, frame); err != nil {
 		return l.undo(err)
 	}
@@ -151,7 +151,7 @@
 	b := binary.BigEndian.AppendUint64(nil, uint64(l.number))
 	b = binary.BigEndian.AppendUint64(b, uint64(l.size))
 	// A failure is passed over: the log itself is synced, so the save stands.
-	_, _ = l.synced.WriteAt(appendFrame(nil, b), 0)
+	_, _ = l.synced.WriteAt(disk.AppendFrame(nil, b), 0)
 }
 
 // noted returns how far the log with this number was synced at least.
@@ -160,7 +160,7 @@
 	if err != nil {
 		return 0
 	}
-	payload, _, _, err := cutFrame(b)
+	payload, _, _, err := disk.CutFrame(b)
 	if err != nil || len(payload) != 16 || binary.BigEndian.Uint64(payload) != uint64(l.number) {
 		return 0
 	}
@@ -197,7 +197,7 @@
 		if err != nil {
 			return errors.Wrap(err, "encoding log entries")
 		}
-		first = appendFrame(nil, payload)
+		first = disk.AppendFrame(nil, payload)
 	}
 	snapshot, err := json.Marshal(saved.Snapshot)
 	if err != nil {
@@ -206,7 +206,7 @@
 	if err := disk.WriteFile(filepath.Join(l.folder, logName(number)), first); err != nil {
 		return err
 	}
-	if err := disk.WriteFile(filepath.Join(l.folder, snapshotName(number)), appendFrame(nil, snapshot)); err != nil {
+	if err := disk.WriteFile(filepath.Join(l.folder, snapshotName(number)), disk.AppendFrame(nil, snapshot)); err != nil {
 		return err
 	}
 	return l.use(number, int64(len(first)))
@@ -238,7 +238,7 @@
 	if err != nil {
 		return saved, errors.Wrap(err, "reading the snapshot")
 	}
-	payload, rest, _, err := cutFrame(b)
+	payload, rest, _, err := disk.CutFrame(b)
 	if err != nil || len(rest) > 0 {
 		return saved, errors.Wrapf(ErrCorrupt, "snapshot %s", snapshotName(number))
 	}
@@ -264,7 +264,7 @@
 	}
 	whole := int64(0)
 	for rest := b; len(rest) > 0; {
-		payload, after, toEnd, err := cutFrame(rest)
+		payload, after, toEnd, err := disk.CutFrame(rest)
 		if err != nil {
 			return whole, l.cutOff(path, whole, int64(len(b)), toEnd)
 		}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
+	"tamarackpin.example/internal/disk"
 	"tamarackpin.example/internal/quorum"
 )
 
@@ -252,8 +253,8 @@
 // follows in order.
 func FuzzOpen(f *testing.F) {
 	payload := []byte(`{"entries":[{"index":1,"term":1}]}`)
-	f.Add(appendFrame(nil, payload))
-	f.Add(appendFrame(appendFrame(nil, payload), payload))
+	f.Add(disk.AppendFrame(nil, payload))
+	f.Add(disk.AppendFrame(disk.AppendFrame(nil, payload), payload))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		folder := t.TempDir()
 		l, _ := open(t, folder)
--- a/tamarackpin/internal/controller/propose.go
+++ b/tamarackpin/internal/controller/propose.go
@@ -57,22 +57,33 @@
 }
 
 // mayLead returns whom to ask on the nth try: the known leader first, then the
-// members in turn.
+// members in turn. Only those are asked that are heard: a command that is sent
+// to a silent one has an unsure outcome, where a refusal would be true. It
+// returns an empty id if no member is heard.
 func (k *Controller) mayLead(n int) vm.ID {
-	if l := k.leader.Load(); n == 0 && l != nil && *l != "" {
-		return *l
-	}
 	var members []vm.ID
-	for _, v := range k.config.Settings.VMs {
-		if v.Control {
-			members = append(members, v.VM)
+	leader := k.leader.Load()
+	for _, s := range k.config.Living() {
+		v, _ := k.config.Settings.Find(s.Heartbeat.VM)
+		if !v.Control {
+			continue
+		}
+		if n == 0 && leader != nil && v.VM == *leader {
+			return v.VM
 		}
+		members = append(members, v.VM)
+	}
+	if len(members) == 0 {
+		return ""
 	}
 	return members[n%len(members)]
 }
 
 func (k *Controller) proposeTo(ctx context.Context, to vm.ID, c control.Command) (reply, *code.Error) {
-	if to == k.self.VM {
+	switch to {
+	case "":
+		return reply{}, nil
+	case k.self.VM:
 		return k.member.propose(ctx, c)
 	}
 	r, err := peer.Call[reply](ctx, k.config.Mesh, to, report.UseControl, methodPropose, proposal{c})
@@ -134,7 +145,9 @@
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	for k.View().Index < index {
-		k.fetches.Offer(leader)
+		if leader != "" && leader != k.self.VM {
+			k.fetches.Offer(leader)
+		}
 		select {
 		case <-ctx.Done():
 			return false
@@ -167,7 +180,10 @@
 func (k *Controller) History(ctx context.Context, most int) ([]table.Entry, *code.Error) {
 	for n := range len(k.config.Settings.VMs) {
 		to := k.mayLead(n)
-		if to == k.self.VM {
+		switch to {
+		case "":
+			continue
+		case k.self.VM:
 			return k.serveLocalHistory(ctx, most), nil
 		}
 		entries, err := peer.Call[[]table.Entry](ctx, k.config.Mesh, to, report.UseControl, methodHistory, historyRequest{most})
--- a/tamarackpin/internal/ledgers/host.go
+++ b/tamarackpin/internal/ledgers/host.go
@@ -35,6 +35,10 @@
 	Log        *zap.Logger
 	View       func() *control.View
 	Propose    func(context.Context, control.Command) (control.Result, *code.Error)
+	// Archive keeps results on disk; nil without one.
+	Archive *Archive
+	// Disks are the entry VMs of each failure domain that may keep results.
+	Disks map[vm.FailureDomain][]vm.ID
 	// Alive reports whether heartbeats of an entry VM arrive.
 	Alive func(vm.ID) bool
 }
@@ -59,6 +63,7 @@
 	peer.Handle(x, methodSubmit, h.serveSubmit)
 	peer.Handle(x, methodStatus, h.serveStatus)
 	peer.Handle(x, methodCancel, h.serveCancel)
+	peer.Handle(x, methodArchived, h.serveArchived)
 	return h
 }
 
@@ -139,7 +144,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.copy.Receive(time.Now(), m)
+	ack, err := c.copy.Receive(time.Now(), m)
+	h.config.Archive.offer(c.results(c.copy.Ledger().TakeResults()))
+	return ack, err
 }
 
 func (h *Host) serveIssue(_ context.Context, _ vm.ID, r issueRequest) (issued, error) {
--- a/tamarackpin/internal/ledgers/messages.go
+++ b/tamarackpin/internal/ledgers/messages.go
@@ -15,6 +15,8 @@
 	methodSubmit peer.Method = "ledger.submit"
 	methodStatus peer.Method = "ledger.status"
 	methodCancel peer.Method = "ledger.cancel"
+
+	methodArchived peer.Method = "ledger.archived"
 )
 
 // MaxIssue is how many ids may be asked for at once.
--- a/tamarackpin/internal/ledgers/run.go
+++ b/tamarackpin/internal/ledgers/run.go
@@ -268,6 +268,10 @@
 		if c.runs[r.sequence] == r {
 			delete(c.runs, r.sequence)
 		}
+		// Only what is durable is kept: a takeover may decide otherwise about
+		// the rest.
+		c.copy.Ledger().TakeResults()
+		c.host.config.Archive.offer(c.results([]submission.Sequence{r.sequence}))
 		c.expire()
 		c.mu.Unlock()
 		r.finish(runDone)
--- a/tamarackpin/internal/ledgers/serve.go
+++ b/tamarackpin/internal/ledgers/serve.go
@@ -61,6 +61,13 @@
 // submit takes in a submission, or joins it if it is known, and waits for its
 // result for at most wait.
 func (h *Host) submit(ctx context.Context, id submission.ID, s submission.Submission, wait time.Duration) (submission.Status, *code.Error) {
+	if h.isLost(id) {
+		e, refusal := h.lost(ctx, id)
+		if refusal == nil && e.Digest != s.Digest() {
+			refusal = code.New(code.IDConflict, "submission %s has other content", id)
+		}
+		return e.Status, refusal
+	}
 	c, refusal := h.primary(id)
 	if refusal != nil {
 		return submission.Status{}, refusal
@@ -188,6 +195,10 @@
 // status returns what became of a submission. If it runs, it waits for the
 // result for at most wait. A result is told only once it is durable.
 func (h *Host) status(ctx context.Context, id submission.ID, wait time.Duration) (submission.Status, *code.Error) {
+	if h.isLost(id) {
+		e, refusal := h.lost(ctx, id)
+		return e.Status, refusal
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	c, refusal := h.primary(id)
--- a/tamarackpin/internal/server/run.go
+++ b/tamarackpin/internal/server/run.go
@@ -53,6 +53,7 @@
 func (v *Server) startDuties() {
 	v.duties.Go(func() { v.dispatcher.Run(v.ctx) })
 	v.duties.Go(func() { v.member.Run(v.ctx) })
+	v.duties.Go(func() { v.archive.Run(v.ctx) })
 	v.duties.Go(func() { v.watchLoad() })
 	v.duties.Go(func() { v.confirm() })
 	v.duties.Go(func() {
--- a/tamarackpin/internal/server/server.go
+++ b/tamarackpin/internal/server/server.go
@@ -52,6 +52,7 @@
 	member     *member.Member
 	controller *controller.Controller
 	ledgers    *ledgers.Host
+	archive    *ledgers.Archive
 	caller     *caller.Backend
 	metrics    *metrics.Metrics
 
@@ -117,6 +118,10 @@
 		Targets:      v.dispatcher.SetTargets,
 		Heard:        func(h vm.Heartbeat) { v.controller.Heard(h) },
 	}, &v.mux)
+	v.archive, err = ledgers.OpenArchive(v.settings.DataFolder, v.log)
+	if err != nil {
+		return err
+	}
 	v.ledgers = ledgers.New(v.ctx, ledgers.Config{
 		Self: v.holder(), Domain: v.self.FailureDomain, Retention: v.retention(),
 		Mesh: v.mesh, Dispatcher: v.dispatcher, Sender: v.sender, Recorder: &v.recorder, Log: v.log,
@@ -157,6 +162,16 @@
 	return ledger.Retention{Submissions: r.Submissions, Bytes: r.AnswerBytes, Answers: r.Answers.Std()}
 }
 
+// disks returns the entry VMs of each failure domain that may keep results on
+// disk: any may, as each has settings of its own.
+func (v *Server) disks() map[vm.FailureDomain][]vm.ID {
+	disks := make(map[vm.FailureDomain][]vm.ID)
+	for _, one := range v.settings.VMs {
+		disks[one.FailureDomain] = append(disks[one.FailureDomain], one.VM)
+	}
+	return disks
+}
+
 // view returns the View in force.
 func (v *Server) view() *control.View {
 	if v.controller == nil {
--- a/tamarackpinload/internal/proof/faults_test.go
+++ b/tamarackpinload/internal/proof/faults_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"context"
 	"math/rand/v2"
 	"os"
 	"syscall"
@@ -8,6 +9,7 @@
 	"time"
 
 	"tamarackpin.example/internal/code"
+	"tamarackpin.example/internal/submission"
 	"tamarackpin.example/tamarackpinload/internal/load"
 	"tamarackpin.example/tamarackpinload/internal/trace"
 )
@@ -185,3 +187,42 @@
 	}
 	return ""
 }
+
+// TestLostLedgers kills both entry VMs of a failure domain at once, so that all
+// copies of its ledgers are gone: results that were on disk are still told, and
+// every other id is refused as unknown, never taken for new.
+func TestLostLedgers(t *testing.T) {
+	d := deploy(t, 2, false)
+	d.awaitWhole(10 * time.Second)
+	disk, other := d.vms[3], d.vms[4]
+	s := submission.Submission{Key: key("bay-bunkers", "stock_batch"), Tasks: []submission.Task{{Body: body("lost-1", time.Millisecond)}}}
+	ids, err := d.client.IDs(context.Background(), disk.callers, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, err := d.client.Submit(context.Background(), other.callers, ids[0], s, 10*time.Second)
+	if err != nil || before.Code != code.OK {
+		t.Fatalf("%+v, %v", before, err)
+	}
+	time.Sleep(500 * time.Millisecond) // results are on disk within 50 ms
+	disk.signal(syscall.SIGKILL)
+	other.kill()
+	<-disk.ended
+	disk.start()
+	other.start()
+	disk.awaitReady(20 * time.Second)
+	other.awaitReady(20 * time.Second)
+	d.awaitWhole(20 * time.Second)
+	after, err := d.client.Submit(context.Background(), d.vms[0].callers, ids[0], s, 10*time.Second)
+	if err != nil || after.Code != code.OK || string(after.Answers[0]) != string(before.Answers[0]) {
+		t.Errorf("after the loss: %+v, %v", after, err)
+	}
+	s.Tasks[0].Body = body("lost-2", time.Millisecond)
+	unknown, err := d.client.Submit(context.Background(), d.vms[0].callers, ids[1], s, 10*time.Second)
+	if err != nil || unknown.Code != code.OutcomeUnknown {
+		t.Errorf("an id of the lost generation: %+v, %v", unknown, err)
+	}
+	if starts := d.record.Starts("lost-2"); len(starts) > 0 {
+		t.Errorf("it was started: %v", starts)
+	}
+}
