Learned times no longer drift; ready means that targets are known

Cause: TestRollingRestart was refused 26 to 28 of 115 submissions as too late, though their deadline was two minutes. Learned speeds and learned work rise together: the mean of work over time is more than the ratio of the means where times spread, so both went up to the bound, 16 times too long.

Ruled out: the restart itself (the refusals came without one as well, 1 of 48 in the cut tests); declared times (they no longer speak against a task, but the refusals stayed: 27 of 115).

An entry VM is ready only once every target has renewed with somebody (7 requests were refused as no_target by one that had just started). The archive is given to the ledgers (it had been left out, TestLostLedgers).

TestEstimatesDoNotDrift holds it.

Conclusion: estimates that feed each other need an anchor.

--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -36,12 +36,40 @@
 func TestDeclaredTimeCountsOnlyAtFirst(t *testing.T) {
 	var e Estimator
 	k := party.Key{Party: "p", Kind: "k"}
-	if e.Expected(k, 0) != unknownService || e.Expected(k, time.Second) != time.Second {
-		t.Error("without a measurement the declared time does not count")
+	for declared, want := range map[time.Duration]time.Duration{0: unknownService, time.Second: time.Second} {
+		if got, learned := e.Expected(k, declared); got != want || learned {
+			t.Errorf("without a measurement, %s declared: %s is expected, learned %v", declared, got, learned)
+		}
 	}
 	e.Observe(k, "t", 50*time.Millisecond)
-	if got := e.Expected(k, time.Second); got != 50*time.Millisecond {
-		t.Errorf("after a measurement %s is expected", got)
+	if got, learned := e.Expected(k, time.Second); got != 50*time.Millisecond || !learned {
+		t.Errorf("after a measurement %s is expected, learned %v", got, learned)
+	}
+}
+
+// TestEstimatesDoNotDrift: times that spread widely must not drive speeds and
+// work up together (TestRollingRestart refused a quarter of all submissions as
+// too late for that reason, issue 4).
+func TestEstimatesDoNotDrift(t *testing.T) {
+	const seed = 2
+	r := rand.New(rand.NewPCG(seed, 0))
+	var e Estimator
+	k := party.Key{Party: "p", Kind: "k"}
+	speeds := map[target.ID]float64{"a": 1, "b": 2, "c": 2, "d": 4} // geometric mean 2
+	ids := []target.ID{"a", "b", "c", "d"}
+	mean := 250 * math.Exp(.9*.9/2) / 2
+	worst := 0.0
+	for n := range 40000 {
+		id := ids[r.IntN(len(ids))]
+		work := 250 * math.Exp(.9*r.NormFloat64())
+		e.Observe(k, id, time.Duration(work/speeds[id]*float64(time.Millisecond)))
+		if n > 1000 {
+			got, _ := e.Expected(k, 0)
+			worst = max(worst, float64(got.Milliseconds())/mean)
+		}
+	}
+	if worst > 2 {
+		t.Errorf("work was once expected to take %.1f times its mean", worst)
 	}
 }
 
@@ -53,12 +81,12 @@
 		e.Observe(k, "b", time.Hour)
 	}
 	for _, id := range []target.ID{"a", "b"} {
-		if s := e.Speed(id); s < slowest || s > fastest {
+		if s := e.Speed(id); s < 1/mostSpeed || s > mostSpeed {
 			t.Errorf("speed of %s is %v", id, s)
 		}
 	}
 	e.Forget(func(target.ID) bool { return false })
-	if e.Speed("a") != 1 {
-		t.Error("a forgotten target keeps its speed")
+	if e.Speed("a") != 1 || e.sum > 1e-9 || e.sum < -1e-9 {
+		t.Errorf("a forgotten target keeps its speed, or its part of the mean: %v", e.sum)
 	}
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -118,15 +118,8 @@
 		e := code.New(code.QueueFull, "%d tasks wait in row %s, of at most %d on this entry VM", len(r.heap), r.row.Key, bound)
 		return e.WithRetry(retryHint(q.wait(r)))
 	}
-	var work time.Duration
-	for _, t := range tasks {
-		work += t.Expected
-	}
-	first := tasks[0]
-	least := max(first.Expected, work/time.Duration(max(1, q.slots)))
-	if late := now.Add(q.wait(r) + least).Sub(first.Deadline); late > 0 && !first.Deadline.IsZero() {
-		e := code.New(code.DeadlineTooClose, "row %s would be about %s late", r.row.Key, late.Round(time.Millisecond))
-		return e.WithRetry(retryHint(late))
+	if refusal := q.makesDeadline(now, r, tasks); refusal != nil {
+		return refusal
 	}
 	if r.row.RatePerSecond > 0 {
 		rate := max(1, q.share(r.row.RatePerSecond))
@@ -138,6 +131,24 @@
 	return nil
 }
 
+// makesDeadline refuses work that could not make its deadline. Declared times
+// are often far off, so only measured ones speak against a task; and nothing is
+// known while no slot is.
+func (q *Queue) makesDeadline(now time.Time, r *rowState, tasks []Task) *code.Error {
+	first := tasks[0]
+	if first.Deadline.IsZero() || first.Guessed || q.slots == 0 {
+		return nil
+	}
+	work := first.Expected * time.Duration(len(tasks))
+	least := max(first.Expected, work/time.Duration(q.slots))
+	late := now.Add(q.wait(r) + least).Sub(first.Deadline)
+	if late <= 0 {
+		return nil
+	}
+	e := code.New(code.DeadlineTooClose, "row %s would be about %s late", r.row.Key, late.Round(time.Millisecond))
+	return e.WithRetry(retryHint(late))
+}
+
 // minRetryHint keeps hints from inviting a storm.
 const minRetryHint = 50 * time.Millisecond
 
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -225,6 +225,11 @@
 	if e := q.Add(start, late); e == nil || e.Code != code.DeadlineTooClose || e.RetryAfter == 0 || e.Outcome != code.NotRun {
 		t.Errorf("work that cannot make its deadline: %v", e)
 	}
+	guessed := Task{ID: 3, Key: key("a"), Deadline: start.Add(time.Second), Expected: 10 * time.Second, Guessed: true}
+	if e := q.Add(start, guessed); e != nil {
+		t.Errorf("work that was declared ten times too long: %v", e)
+	}
+	q.Remove(3)
 	var tasks []Task
 	for i := range 11 {
 		tasks = append(tasks, Task{ID: TaskID(10 + i), Key: key("a"), Deadline: start.Add(time.Hour), Expected: time.Second})
--- a/internal/queue/task.go
+++ b/internal/queue/task.go
@@ -20,6 +20,7 @@
 	Arrived  time.Time
 	Deadline time.Time
 	Expected time.Duration // estimated service time
+	Guessed  bool          // Expected rests on a declaration or a default, not on measurements
 }
 
 // earlier orders the tasks of one row: earliest deadline first, then the
--- a/tamarackpin/internal/dispatch/dispatcher.go
+++ b/tamarackpin/internal/dispatch/dispatcher.go
@@ -152,7 +152,9 @@
 		for i, a := range tasks {
 			d.lastID++
 			a.Task.ID = d.lastID
-			a.Task.Expected = d.learned.Expected(a.Task.Key, a.Declared)
+			learned := false
+			a.Task.Expected, learned = d.learned.Expected(a.Task.Key, a.Declared)
+			a.Task.Guessed = !learned
 			batch[i] = a.Task
 			ids = append(ids, a.Task.ID)
 		}
--- a/tamarackpin/internal/server/run.go
+++ b/tamarackpin/internal/server/run.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/target"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/tamarackpin/internal/peer"
 )
@@ -21,6 +22,9 @@
 	serveKnownAfter = 3 * time.Second
 	confirmEvery    = 100 * time.Millisecond
 	inHandEvery     = 20 * time.Millisecond
+	// learnTargets is how long a start waits, so that every target has renewed
+	// its lease with this entry VM or with another, which passed it on.
+	learnTargets = target.RenewEvery + 400*time.Millisecond
 	// lastReplies is the time for replies on their way when all is done.
 	lastReplies = time.Second
 )
@@ -118,6 +122,7 @@
 		refusal := v.controller.Confirm(v.ctx)
 		known := v.view().Index > 0 && time.Since(v.begun) > serveKnownAfter
 		if refusal == nil || known {
+			pause(v.ctx, learnTargets-time.Since(v.begun))
 			v.confirmed.Store(true)
 			event.Log(v.log, event.Ready, zap.Uint64("table_version", uint64(v.view().Table.Version())), zap.Bool("confirmed", refusal == nil))
 			return
--- a/tamarackpin/internal/server/server.go
+++ b/tamarackpin/internal/server/server.go
@@ -129,7 +129,8 @@
 		Propose: func(ctx context.Context, c control.Command) (control.Result, *code.Error) {
 			return v.controller.Propose(ctx, c)
 		},
-		Alive: v.member.Alive,
+		Alive:   v.member.Alive,
+		Archive: v.archive, Disks: v.disks(),
 	}, &v.mux)
 	v.controller, err = controller.New(controller.Config{
 		Settings: v.settings, Mesh: v.mesh, Log: v.log, Living: v.member.Living, View: v.adopt,
