--- a/tamarackpinload/internal/proof/deployment_test.go
+++ b/tamarackpinload/internal/proof/deployment_test.go
@@ -125,7 +125,7 @@
 }
 
 func (d *deployment) layOut(t *testing.T, cuttable bool) {
-	ports := freePorts(t, 4*len(domains))
+	ports := freePorts(4*len(domains))
 	folder := t.TempDir()
 	peerAddress := func(i int) string { return fmt.Sprint("127.0.0.1:", ports[4*i]) }
 	for i := range domains {
@@ -169,7 +169,7 @@
 var nextPort = 12000 + os.Getpid()%18*1000
 
 // freePorts returns ports that are free.
-func freePorts(t *testing.T, count int) []int {
+func freePorts(count int) []int {
 	var ports []int
 	for len(ports) < count {
 		nextPort++
