Recorded traces of ledgers replayed against stated outcomes

Ruled out: recording calls instead of draws; it took a second driver, and the draws replay through the one that the schedules use. Found: open submissions were settled in the order of a map at a takeover, so that a trace had two outcomes; they come in the order of their ids now.

--- a/internal/control/ledger_test.go
+++ b/internal/control/ledger_test.go
@@ -72,6 +72,9 @@
 // world is one ledger with its holders, the quorum, and what the outside saw.
 type world struct {
 	random   *rand.Rand
+	draws    []int // made so far, or to be replayed
+	replayed int   // draws replayed; -1 when drawing anew
+	log      []string
 	plant    plant
 	now      time.Time
 	nodes    []*node
@@ -94,7 +97,7 @@
 
 func newWorld(seed uint64, p plant) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 7)), plant: p, now: time.Unix(1000, 0),
+		random: rand.New(rand.NewPCG(seed, 7)), replayed: -1, plant: p, now: time.Unix(1000, 0),
 		planner: Planner{Ledgers: 1},
 		started: make(map[string]bool), told: make(map[submission.ID]code.Code),
 		running: make(map[string]pendingStart), runsAt: make(map[string]ledger.Holder), counts: make(map[string]int),
@@ -106,13 +109,30 @@
 	return w
 }
 
+// draw returns a number below n: drawn anew and recorded, or replayed.
+func (w *world) draw(n int) int {
+	if w.replayed < 0 {
+		v := w.random.IntN(n)
+		w.draws = append(w.draws, v)
+		return v
+	}
+	v := w.draws[w.replayed] % n
+	w.replayed++
+	return v
+}
+
+// note writes down what the outside saw.
+func (w *world) note(format string, args ...any) {
+	w.log = append(w.log, fmt.Sprintf(format, args...))
+}
+
 func name(id submission.ID, task int) string { return fmt.Sprintf("%s/%d", id, task) }
 
 // step does one random thing and returns a broken promise, if any.
 func (w *world) step() error {
 	w.now = w.now.Add(time.Millisecond)
-	n := w.nodes[w.random.IntN(len(w.nodes))]
-	switch r := w.random.IntN(1000); {
+	n := w.nodes[w.draw(len(w.nodes))]
+	switch r := w.draw(1000); {
 	case r < 15:
 		w.plan()
 	case r < 100:
@@ -146,7 +166,7 @@
 func (w *world) plan() {
 	var living []vm.State
 	for _, n := range w.nodes {
-		if w.random.IntN(12) > 0 {
+		if w.draw(12) > 0 {
 			living = append(living, vm.State{Heard: w.now, Heartbeat: vm.Heartbeat{VM: n.self.VM, FailureDomain: theDomain, Incarnation: n.self.Incarnation}})
 		}
 	}
@@ -170,6 +190,7 @@
 	}
 	before := n.copy.Assignment()
 	if n.copy.Assign(a) {
+		w.note("%s takes over at epoch %d", n.self.VM, a.Epoch)
 		w.counts["takeover"]++
 		w.recover(n)
 	}
@@ -214,8 +235,8 @@
 		return nil
 	}
 	var id submission.ID
-	if len(w.ids) > 0 && w.random.IntN(2) == 0 {
-		id = w.ids[w.random.IntN(len(w.ids))]
+	if len(w.ids) > 0 && w.draw(2) == 0 {
+		id = w.ids[w.draw(len(w.ids))]
 		w.counts["resubmitted"]++
 	} else {
 		id = n.copy.Issue(1)[0]
@@ -246,19 +267,12 @@
 	if n.copy.Role() != ledger.Primary {
 		return nil
 	}
-	open := n.copy.Ledger().Open()
-	slices.SortFunc(open, func(a, b *ledger.Entry) int {
-		if a.Sequence.After(b.Sequence) {
-			return 1
-		}
-		return -1
-	})
-	for _, e := range open {
+	for _, e := range n.copy.Ledger().Open() {
 		waiting := e.Waiting()
 		if len(waiting) == 0 {
 			continue
 		}
-		task := waiting[w.random.IntN(len(waiting))]
+		task := waiting[w.draw(len(waiting))]
 		at, err := n.copy.Append(w.now, ledger.Record{Kind: ledger.Started, Sequence: e.Sequence, Task: task, Count: 1})
 		if err != nil {
 			return errors.Wrap(err, "starting")
@@ -282,6 +296,7 @@
 			return errors.Newf("task %s was started twice", key)
 		}
 		w.started[key] = true
+		w.note("%s starts %s", n.self.VM, key)
 		w.running[key] = s
 		w.runsAt[key] = n.self
 		w.counts["started"]++
@@ -296,6 +311,9 @@
 		if before, ok := w.told[t.id]; ok && before != t.result {
 			return errors.Newf("submission %s was told as %s and then as %s", t.id, before, t.result)
 		}
+		if _, before := w.told[t.id]; !before {
+			w.note("%s tells %s as %s", n.self.VM, t.id, t.result)
+		}
 		w.told[t.id] = t.result
 		w.counts["told "+t.result.String()]++
 	}
@@ -334,7 +352,7 @@
 			m.Records = withoutFloor(m.Records)
 		}
 		w.messages = append(w.messages, envelope{from: n.self, to: to, batch: m})
-		if w.random.IntN(8) == 0 {
+		if w.draw(8) == 0 {
 			w.messages = append(w.messages, envelope{from: n.self, to: to, batch: m})
 		}
 	}
@@ -360,7 +378,7 @@
 	if len(w.messages) == 0 {
 		return nil
 	}
-	i := w.random.IntN(min(len(w.messages), 4))
+	i := w.draw(min(len(w.messages), 4))
 	m := w.messages[i]
 	w.messages = slices.Delete(w.messages, i, i+1)
 	for _, n := range w.nodes {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,7 +56,7 @@
 // Len returns the number of submissions known.
 func (l *Ledger) Len() int { return len(l.entries) }
 
-// Open returns the entries that run.
+// Open returns the entries that run, in the order of their sequences.
 func (l *Ledger) Open() []*Entry {
 	var open []*Entry
 	for _, e := range l.entries {
@@ -63,6 +64,12 @@
 			open = append(open, e)
 		}
 	}
+	slices.SortFunc(open, func(a, b *Entry) int {
+		if a.Sequence.After(b.Sequence) {
+			return 1
+		}
+		return -1
+	})
 	return open
 }
 
--- a/internal/ledger/transfer.go
+++ b/internal/ledger/transfer.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"slices"
 	"time"
 
@@ -18,16 +17,8 @@
 	for _, s := range l.finished {
 		records = l.entries[s].records(now, records)
 	}
-	running := slices.SortedFunc(maps.Keys(l.entries), func(a, b submission.Sequence) int {
-		if b.After(a) {
-			return -1
-		}
-		return 1
-	})
-	for _, s := range running {
-		if e := l.entries[s]; e.Running() {
-			records = e.records(now, records)
-		}
+	for _, e := range l.Open() {
+		records = e.records(now, records)
 	}
 	// The floor goes last: opening what lies under it would be refused.
 	return append(records[1:], records[0])
