Smaller renewals and heartbeats, for 250 targets in a failure domain

A target renews 1.25 times a second; with 250 targets and 3 entry VMs in a failure domain each entry VM passes about 208 renewals a second on, at some 230 bytes 48 KB a second: over the budget of 26 KB a second by itself. Heartbeats to 23 others with the kinds in each add to it.

Change: between two full announcements (every fifth) only target, incarnation and sequence are passed on; heartbeats carry the kinds every fifth time and when they changed. What is lost is mended by the next full one, as before.

Ruled out: renewing less often. The lease term is bounded by the 3 s in which a dead target must get nothing more, and must outlast two lost renewals.

--- a/internal/target/announcement.go
+++ b/internal/target/announcement.go
@@ -76,3 +76,18 @@
 	}
 	return a.Sequence > o.Sequence
 }
+
+// Renewal says that a target announced itself again and that nothing else
+// changed.
+type Renewal struct {
+	Target      ID             `json:"target"`
+	Incarnation vm.Incarnation `json:"incarnation"`
+	Sequence    uint64         `json:"sequence"`
+}
+
+// Same reports whether a differs from o in its sequence only, so that a Renewal
+// says all.
+func (a Announcement) Same(o Announcement) bool {
+	return slices.Equal(a.Kinds, o.Kinds) && a.Target == o.Target && a.Address == o.Address && a.FailureDomain == o.FailureDomain &&
+		a.Incarnation == o.Incarnation && a.Slots == o.Slots && a.Connections == o.Connections && a.Leaving == o.Leaving && a.Rack == o.Rack
+}
--- a/internal/target/book.go
+++ b/internal/target/book.go
@@ -45,6 +45,19 @@
 	return true
 }
 
+// Renew takes in a Renewal that left the target age ago. It prolongs the lease
+// only of a target whose announcement of the same incarnation is known and not
+// leaving.
+func (b *Book) Renew(now time.Time, r Renewal, age time.Duration) {
+	l, known := b.leases[r.Target]
+	if !known || l.Leaving || l.Incarnation != r.Incarnation {
+		return
+	}
+	a := l.Announcement
+	a.Sequence = r.Sequence
+	b.Observe(now, a, age)
+}
+
 // Usable reports whether id may be given work.
 func (b *Book) Usable(now time.Time, id ID) bool {
 	l, ok := b.leases[id]
--- a/internal/vm/view.go
+++ b/internal/vm/view.go
@@ -34,6 +34,9 @@
 	if v.states == nil {
 		v.states = make(map[ID]State)
 	}
+	if h.Kinds == nil && h.Incarnation == old.Heartbeat.Incarnation {
+		h.Kinds = old.Heartbeat.Kinds
+	}
 	v.states[h.VM] = State{Heartbeat: h, Heard: now}
 	return true
 }
--- a/internal/vm/view_test.go
+++ b/internal/vm/view_test.go
@@ -64,3 +64,20 @@
 		t.Errorf("a death is noticed only after %s", DeadAfter+HeartbeatEvery)
 	}
 }
+
+// TestKindsAreKeptBetween: a heartbeat without kinds changes none, and a new
+// incarnation has none before it says so.
+func TestKindsAreKeptBetween(t *testing.T) {
+	var v View
+	now := time.Unix(1000, 0)
+	for i, c := range []struct {
+		incarnation Incarnation
+		kinds       []string
+		want        bool
+	}{{1, []string{"k"}, true}, {1, nil, true}, {1, []string{}, false}, {1, []string{"k"}, true}, {2, nil, false}} {
+		v.Observe(now, Heartbeat{VM: "vm0", FailureDomain: "arusha", Incarnation: c.incarnation, Sequence: uint64(i + 1), Kinds: c.kinds})
+		if got := v.Living(now)[0].Heartbeat.Runs("k"); got != c.want {
+			t.Errorf("step %d: runs k: %v, want %v", i, got, c.want)
+		}
+	}
+}
--- a/tamarackpin/internal/member/member.go
+++ b/tamarackpin/internal/member/member.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,11 +65,28 @@
 	sequence uint64
 	draining bool
 	kinds    []party.Kind // of this failure domain
-	living   map[vm.ID]bool
-	live     map[target.ID]bool
-	passOn   map[vm.ID]map[target.ID]passed
+	// kindsSince is when kinds last changed.
+	kindsSince time.Time
+	beats      map[vm.ID]int // heartbeats sent to each other entry VM
+	living     map[vm.ID]bool
+	live       map[target.ID]bool
+	passOn     map[vm.ID]map[target.ID]passed
+	told       map[vm.ID]map[target.ID]told
 }
 
+// told is what another entry VM was last told of a target in full.
+type told struct {
+	announcement target.Announcement
+	renewals     int // since
+}
+
+// kindsEvery is how many heartbeats go without the kinds before one has them.
+const kindsEvery = 5
+
+// fullEvery is how many times in a row a target is passed on before its
+// announcement is in full again, for those who missed it.
+const fullEvery = 5
+
 // passed is an announcement that is to be passed on.
 type passed struct {
 	announcement target.Announcement
@@ -81,6 +100,8 @@
 		living: make(map[vm.ID]bool),
 		live:   make(map[target.ID]bool),
 		passOn: make(map[vm.ID]map[target.ID]passed),
+		told:   make(map[vm.ID]map[target.ID]told),
+		beats:  make(map[vm.ID]int),
 	}
 	peer.Handle(x, methodHeartbeat, m.heartbeat)
 	peer.Handle(x, methodAnnounced, m.announced)
@@ -128,7 +149,7 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.view.Observe(now, m.own())
+	m.view.Observe(now, m.own(true))
 	return m.view.Living(now)
 }
 
@@ -206,9 +227,10 @@
 	return to
 }
 
-// Announced carries announcements from one entry VM to another.
+// Announced carries what was heard of targets from one entry VM to another.
 type Announced struct {
-	Announcements []Aged `json:"announcements"`
+	Announcements []Aged        `json:"announcements,omitempty"`
+	Renewals      []AgedRenewal `json:"renewals,omitempty"` // of what was carried in full before
 }
 
 // Aged is an announcement with the time since the sender heard it.
@@ -217,6 +239,12 @@
 	Age wire.Duration `json:"age"`
 }
 
+// AgedRenewal is a renewal with the time since the sender heard it.
+type AgedRenewal struct {
+	target.Renewal
+	Age wire.Duration `json:"age"`
+}
+
 // Check returns an error if an announcement cannot be used.
 func (a Announced) Check() error {
 	for _, one := range a.Announcements {
@@ -227,27 +255,46 @@
 	return nil
 }
 
-// pass sends the announcements that wait for entry VM to.
+// pass sends what waits for entry VM to.
 func (m *Member) pass(ctx context.Context, to vm.ID) {
 	now := time.Now()
 	m.mu.Lock()
-	waiting := m.passOn[to]
-	delete(m.passOn, to)
 	alive := m.view.Alive(now, to)
+	message := m.takePass(now, to)
 	m.mu.Unlock()
-	if len(waiting) == 0 || !alive {
+	if !alive || len(message.Announcements)+len(message.Renewals) == 0 {
 		return
 	}
-	var message Announced
-	for _, p := range waiting {
-		message.Announcements = append(message.Announcements, Aged{p.announcement, wire.Duration(now.Sub(p.heard))})
-	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	// A loss is mended by the targets' next announcements.
+	// A loss is mended by the next announcement in full.
 	_ = m.config.Mesh.Notify(ctx, to, report.UseTarget, methodAnnounced, message)
 }
 
+// takePass returns what waits for entry VM to: as a renewal where that says all.
+// The caller holds mu.
+func (m *Member) takePass(now time.Time, to vm.ID) Announced {
+	var message Announced
+	waiting := m.passOn[to]
+	delete(m.passOn, to)
+	if m.told[to] == nil {
+		m.told[to] = make(map[target.ID]told)
+	}
+	for id, p := range waiting {
+		a, age := p.announcement, wire.Duration(now.Sub(p.heard)).Round()
+		last := m.told[to][id]
+		last.renewals++
+		if last.renewals < fullEvery && a.Same(last.announcement) {
+			m.told[to][id] = last
+			message.Renewals = append(message.Renewals, AgedRenewal{target.Renewal{Target: id, Incarnation: a.Incarnation, Sequence: a.Sequence}, age})
+			continue
+		}
+		m.told[to][id] = told{announcement: a}
+		message.Announcements = append(message.Announcements, Aged{a, age})
+	}
+	return message
+}
+
 func (m *Member) announced(_ context.Context, _ vm.ID, a Announced) (struct{}, error) {
 	now := time.Now()
 	changed := false
@@ -256,6 +303,9 @@
 		newer := m.book.Observe(now, one.Announcement, one.Age.Std())
 		changed = changed || newer && (one.Leaving || !m.live[one.Target])
 	}
+	for _, one := range a.Renewals {
+		m.book.Renew(now, one.Renewal, one.Age.Std())
+	}
 	m.mu.Unlock()
 	if changed {
 		m.refresh()
@@ -264,7 +314,7 @@
 }
 
 // own returns the heartbeat of this entry VM. The caller holds mu.
-func (m *Member) own() vm.Heartbeat {
+func (m *Member) own(withKinds bool) vm.Heartbeat {
 	m.sequence++
 	h := vm.Heartbeat{
 		VM:            m.config.Self.VM,
@@ -275,6 +325,10 @@
 		ControlIndex:  m.config.ControlIndex(),
 		Demand:        m.config.Demand(),
 	}
+	if !withKinds {
+		return h
+	}
+	h.Kinds = []string{}
 	for _, k := range m.kinds {
 		h.Kinds = append(h.Kinds, string(k))
 	}
@@ -282,8 +336,10 @@
 }
 
 func (m *Member) beat(ctx context.Context, to vm.ID) {
+	now := time.Now()
 	m.mu.Lock()
-	h := m.own()
+	m.beats[to]++
+	h := m.own(m.beats[to]%kindsEvery == 1 || now.Sub(m.kindsSince) < 2*vm.HeartbeatEvery)
 	m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
@@ -308,7 +364,7 @@
 func (m *Member) refresh() {
 	now := time.Now()
 	m.mu.Lock()
-	m.view.Observe(now, m.own())
+	m.view.Observe(now, m.own(true))
 	m.noteVMs(m.view.Living(now))
 	var live []target.Lease
 	for _, l := range m.book.Live(now) {
@@ -320,12 +376,21 @@
 	claims := m.claims(now)
 	m.view.Forget(now, forgetAfter)
 	m.book.Forget(now)
+	m.forgetTold(now)
 	m.mu.Unlock()
 	m.config.Targets(live, func(l target.Lease) int {
 		return target.Split(l.Target, l.Slots, claims)[m.config.Self.VM]
 	})
 }
 
+// forgetTold drops what others were told of targets that are gone. The caller
+// holds mu.
+func (m *Member) forgetTold(now time.Time) {
+	for _, t := range m.told {
+		maps.DeleteFunc(t, func(id target.ID, _ told) bool { return !m.book.Usable(now, id) })
+	}
+}
+
 // claims returns the claims of the entry VMs of this failure domain. The
 // caller holds mu.
 func (m *Member) claims(now time.Time) []target.Claim {
@@ -379,5 +444,7 @@
 		}
 	}
 	m.live = live
-	m.kinds = kinds.Sorted()
+	if sorted := kinds.Sorted(); !slices.Equal(sorted, m.kinds) {
+		m.kinds, m.kindsSince = sorted, time.Now()
+	}
 }
