--- a/internal/target/slots.go
+++ b/internal/target/slots.go
@@ -1,15 +1,40 @@
 package target
 
 import (
+	"time"
+
 	"tamarackpin.example/internal/party"
 )
 
+// raiseAfter is how long a larger part of a target's slots must be due before
+// it is used. A smaller part is in force at once, so that where entry VMs learn
+// of a new division one after the other, those that gain wait for those that
+// lose.
+const raiseAfter = 150 * time.Millisecond
+
 // place is what Slots keeps of one target.
 type place struct {
-	lease Lease
-	part  int // slots that this entry VM may use now
-	used  int
-	live  bool
+	lease  Lease
+	part   int       // slots that this entry VM may use now
+	due    int       // least part that was due since raised, if over part
+	raised time.Time // since when more than part is due
+	used   int
+	live   bool
+}
+
+// divide takes in the part that is due now.
+func (p *place) divide(now time.Time, part int) {
+	switch {
+	case part <= p.part:
+		p.part, p.due = part, part
+		return
+	case p.due <= p.part:
+		p.due, p.raised = part, now
+	}
+	p.due = min(p.due, part)
+	if now.Sub(p.raised) >= raiseAfter {
+		p.part = p.due
+	}
 }
 
 // Slots counts the slots of live targets that this entry VM may use and uses.
@@ -20,7 +45,7 @@
 
 // Set puts the live leases and this entry VM's part of each in force. Targets
 // that are missing get nothing more; their running tasks are still counted.
-func (s *Slots) Set(live []Lease, part func(Lease) int) {
+func (s *Slots) Set(now time.Time, live []Lease, part func(Lease) int) {
 	if s.places == nil {
 		s.places = make(map[ID]*place)
 	}
@@ -30,10 +55,12 @@
 	for _, l := range live {
 		p := s.places[l.Target]
 		if p == nil {
-			p = &place{}
+			first := part(l)
+			p = &place{part: first, due: first}
 			s.places[l.Target] = p
 		}
-		p.lease, p.part, p.live = l, part(l), true
+		p.lease, p.live = l, true
+		p.divide(now, part(l))
 	}
 	for id, p := range s.places {
 		if !p.live && p.used == 0 {
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -114,7 +114,7 @@
 func TestSlotsTakeTheFastestFree(t *testing.T) {
 	var s Slots
 	leases := []Lease{{Announcement: announcement("t1", 1, 1, false)}, {Announcement: announcement("t2", 1, 1, false)}}
-	s.Set(leases, func(Lease) int { return 1 })
+	s.Set(start, leases, func(Lease) int { return 1 })
 	speed := func(id ID) float64 { return map[ID]float64{"t1": 1, "t2": 3}[id] }
 	var got []ID
 	for range 3 {
@@ -125,7 +125,7 @@
 	if len(got) != 2 || got[0] != "t2" || got[1] != "t1" {
 		t.Errorf("slots went to %v", got)
 	}
-	s.Set(leases[:1], func(Lease) int { return 1 })
+	s.Set(start, leases[:1], func(Lease) int { return 1 })
 	s.Release("t2")
 	if _, ok := s.Acquire("k", speed); ok {
 		t.Error("a target that is gone got a task")
@@ -183,3 +183,32 @@
 		t.Error("a success does not end it")
 	}
 }
+
+// TestGainsWaitForLosses: two entry VMs that learn of a new division within the
+// time that a gain waits never use more slots together than there are.
+func TestGainsWaitForLosses(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		const slots = 8
+		var a, b Slots
+		l := []Lease{{Announcement: announcement("t1", 1, 1, false)}}
+		share, now := slots/2, start
+		a.Set(now, l, func(Lease) int { return share })
+		b.Set(now, l, func(Lease) int { return slots - share })
+		for range rapid.IntRange(1, 40).Draw(r, "divisions") {
+			share = rapid.IntRange(0, slots).Draw(r, "share")
+			first, second := &a, &b
+			mine, other := share, slots-share
+			if rapid.Bool().Draw(r, "order") {
+				first, second, mine, other = second, first, other, mine
+			}
+			for range rapid.IntRange(1, 4).Draw(r, "refreshes") {
+				now = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(r, "ms")) * time.Millisecond)
+				first.Set(now, l, func(Lease) int { return mine })
+				if sum := a.Usage("t1").Part + b.Usage("t1").Part; sum > slots {
+					r.Fatalf("parts are %d and %d of %d", a.Usage("t1").Part, b.Usage("t1").Part, slots)
+				}
+				second.Set(now.Add(time.Millisecond), l, func(Lease) int { return other })
+			}
+		}
+	})
+}
--- a/tamarackpin/internal/dispatch/dispatcher.go
+++ b/tamarackpin/internal/dispatch/dispatcher.go
@@ -260,9 +260,9 @@
 
 // SetTargets puts the live targets in force, and this entry VM's part of each.
 func (d *Dispatcher) SetTargets(live []target.Lease, part func(target.Lease) int) {
-	d.post(func(d *Dispatcher, _ time.Time) {
+	d.post(func(d *Dispatcher, now time.Time) {
 		d.live = live
-		d.slots.Set(live, part)
+		d.slots.Set(now, live, part)
 		d.queue.SetSlots(d.slots.Total())
 		known := make(map[target.ID]bool, len(live))
 		for _, l := range live {
--- a/tamarackpin/internal/member/member.go
+++ b/tamarackpin/internal/member/member.go
@@ -115,7 +115,7 @@
 		if v.VM == m.config.Self.VM {
 			continue
 		}
-		duties.Go(func() { every(ctx, vm.HeartbeatEvery, func() { m.beat(ctx, v.VM) }) })
+		duties.Go(func() { m.beatLoop(ctx, v) })
 		duties.Go(func() { every(ctx, passOnEvery, func() { m.pass(ctx, v.VM) }) })
 	}
 	duties.Go(func() { every(ctx, refreshEvery, m.refresh) })
@@ -136,6 +136,34 @@
 	}
 }
 
+// demandEvery is the interval at which entry VMs of one failure domain tell each
+// other of a demand that moved, so that slots follow it.
+const demandEvery = 50 * time.Millisecond
+
+// beatLoop sends heartbeats to one entry VM: at the regular interval, and within
+// the failure domain sooner when the demand here moved.
+func (m *Member) beatLoop(ctx context.Context, to settings.VM) {
+	if to.FailureDomain != m.config.Self.FailureDomain {
+		every(ctx, vm.HeartbeatEvery, func() { m.beat(ctx, to.VM) })
+		return
+	}
+	var sent time.Time
+	told := 0
+	every(ctx, demandEvery, func() {
+		demand := m.config.Demand()
+		if time.Since(sent) < vm.HeartbeatEvery && !moved(told, demand) {
+			return
+		}
+		sent, told = time.Now(), demand
+		m.beat(ctx, to.VM)
+	})
+}
+
+// moved reports whether a demand differs enough to divide slots anew.
+func moved(before, now int) bool {
+	return 4*max(before-now, now-before) > max(before, now)
+}
+
 // Drain makes the heartbeats say that this entry VM takes no more work.
 func (m *Member) Drain() {
 	m.mu.Lock()
@@ -357,6 +385,9 @@
 	if newer {
 		m.config.Heard(h)
 	}
+	if newer && h.FailureDomain == m.config.Self.FailureDomain {
+		m.refresh()
+	}
 	return struct{}{}, nil
 }
 
