--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,6 +4,8 @@
 #
 #   scripts/demo.sh             play a workload
 #   scripts/demo.sh --kill      kill -9 one entry VM in the middle of it
+#
+# LENGTH, LOAD and SEED set the trace; MEASURE=1 prints what the processes took.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -89,4 +91,14 @@
   --entries 127.0.0.1:7200,127.0.0.1:7201,127.0.0.1:7202,127.0.0.1:7203,127.0.0.1:7204,127.0.0.1:7205,127.0.0.1:7206 || status=$?
 echo
 ctl 6 report
+if [ -n "${MEASURE:-}" ]; then
+  echo
+  echo "entry VM  processor time (1/100 s)  resident memory (KB)"
+  for i in 0 1 2 3 4 5 6; do
+    pid_name="vm${i}_pid"
+    pid=${!pid_name}
+    [ -r "/proc/$pid/stat" ] || continue
+    echo "vm$i  $(awk '{print $14 + $15}' "/proc/$pid/stat")  $(awk '/VmRSS/ {print $2}' "/proc/$pid/status")"
+  done
+fi
 exit $status
--- a/tamarackpinload/internal/cmd/cmd.go
+++ b/tamarackpinload/internal/cmd/cmd.go
@@ -34,7 +34,7 @@
 	var o options
 	o.Targets.stderr = stderr
 	o.Run.stdout, o.Record.stdout, o.Replay.stdout = stdout, stdout, stdout
-	o.Experiment.Overhead.stdout = stdout
+	o.Experiment.Overhead.stdout, o.Experiment.Bound.stdout = stdout, stdout
 	p := flags.NewNamedParser("tamarackpinload", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = "Stand-in targets, callers, traces and experiments for tamarackpin. Load goes to the given addresses only. Exit codes: 0 done, 1 a promise was broken or the run failed, 2 wrong arguments."
 	if _, err := p.AddGroup("Commands", "", &o); err != nil {
