Rows come in at settled service: bookings no longer wait behind bulk

Cause: in the demo slot bookings (weight 10, far under their share) waited seconds beside bulk work of weight 5. The state printed for late ones showed booking rows at a service of 7.45 while the bulk row had 5.37 and held the slots. A burst is charged as expected when it starts; a row that comes in then starts at that level; when the tasks end sooner than expected the burst's row gets its difference back and goes ahead, until it has used it up.

Change: a row's service is what is settled plus what is pending; others come in at what is settled only.

Conclusion: charges that are guesses must not become levels.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -24,8 +24,10 @@
 	tasks      map[TaskID]*waiting
 	running    map[TaskID]*waiting
 	backlogged []*rowState // rows with waiting tasks, in no order
-	floor      float64     // service of the row that was last given work
-	slots      int
+	// floor is the settled service of the row that was last given work: among
+	// urgent rows and among the others, which never compete by service.
+	floor map[bool]float64
+	slots int
 }
 
 // SetTable puts the rows of s in force. Tasks of a row that s lacks are kept
@@ -60,6 +62,7 @@
 		q.rows = make(map[party.Key]*rowState)
 		q.tasks = make(map[TaskID]*waiting)
 		q.running = make(map[TaskID]*waiting)
+		q.floor = make(map[bool]float64)
 	}
 }
 
@@ -100,7 +103,7 @@
 func (q *Queue) put(r *rowState, tasks []Task) {
 	if len(r.heap) == 0 {
 		// A row that had nothing waiting claims no service for that time.
-		r.service = max(r.service, q.floor)
+		r.settled = max(r.settled, q.floor[r.row.Urgent])
 		q.enlist(r)
 	}
 	for _, t := range tasks {
@@ -200,8 +203,8 @@
 	w := best.heap[0]
 	q.take(w)
 	best.inFlight++
-	best.charge(w.Expected)
-	q.floor = max(q.floor, best.service)
+	q.floor[best.row.Urgent] = best.settled
+	best.pending += best.weighted(w.Expected)
 	q.running[w.ID] = w
 	return w.Task, true
 }
@@ -210,14 +213,25 @@
 	if r.row.Urgent != o.row.Urgent {
 		return r.row.Urgent
 	}
-	if r.service != o.service {
-		return r.service < o.service
+	if a, b := r.settled+r.pending, o.settled+o.pending; a != b {
+		return a < b
 	}
 	return r.row.Compare(o.row.Key) < 0
 }
 
-// Done takes in that a started task ended after service, and settles the
-// difference to what was expected.
+// Expect takes in how long a started task is expected to run where it was sent.
+// Until it is done, its row is charged that much.
+func (q *Queue) Expect(id TaskID, service time.Duration) {
+	w, ok := q.running[id]
+	if !ok {
+		return
+	}
+	w.row.pending += w.row.weighted(service - w.Expected)
+	w.Expected = service
+}
+
+// Done takes in that a started task ended after service, which settles what its
+// row is charged for it.
 func (q *Queue) Done(id TaskID, service time.Duration) {
 	w, ok := q.running[id]
 	if !ok {
@@ -225,7 +239,8 @@
 	}
 	delete(q.running, id)
 	w.row.inFlight--
-	w.row.charge(service - w.Expected)
+	w.row.pending -= w.row.weighted(w.Expected)
+	w.row.settled += w.row.weighted(service)
 	q.dropIdle(w.row)
 }
 
@@ -237,7 +252,7 @@
 	}
 	delete(q.running, id)
 	w.row.inFlight--
-	w.row.charge(-w.Expected)
+	w.row.pending -= w.row.weighted(w.Expected)
 	if len(w.row.heap) == 0 {
 		q.enlist(w.row)
 	}
@@ -278,6 +293,17 @@
 // Running returns the number of tasks that were started and not ended.
 func (q *Queue) Running() int { return len(q.running) }
 
+// Claim returns the demand that counts when slots are divided among entry VMs:
+// of each row at most as many tasks as its weight, so that one row's burst at one
+// entry VM does not draw the slots from the others' rows.
+func (q *Queue) Claim() int {
+	claim := 0
+	for _, r := range q.rows {
+		claim += min(len(r.heap)+r.inFlight, r.row.Weight)
+	}
+	return claim
+}
+
 // take removes w from what waits.
 func (q *Queue) take(w *waiting) {
 	delete(q.tasks, w.ID)
--- a/tamarackpin/internal/dispatch/dispatcher.go
+++ b/tamarackpin/internal/dispatch/dispatcher.go
@@ -273,10 +273,17 @@
 	})
 }
 
-// Load returns the numbers of tasks that wait and that run.
-func (d *Dispatcher) Load(ctx context.Context) (waiting, running int) {
-	_ = d.do(ctx, func(d *Dispatcher, _ time.Time) { waiting, running = d.queue.Waiting(), d.queue.Running() })
-	return waiting, running
+// Load is what a Dispatcher has to do.
+type Load struct {
+	Waiting int // tasks without a slot
+	Running int // tasks on targets
+	Claim   int // what counts when slots are divided
+}
+
+// Load returns the present Load.
+func (d *Dispatcher) Load(ctx context.Context) (l Load) {
+	_ = d.do(ctx, func(d *Dispatcher, _ time.Time) { l = Load{d.queue.Waiting(), d.queue.Running(), d.queue.Claim()} })
+	return l
 }
 
 // Targets returns the live targets.
@@ -341,6 +348,7 @@
 func (d *Dispatcher) tellGranted(now time.Time, t queue.Task, lease target.Lease) {
 	d.health.Sent(now, lease.Target)
 	d.granted[t.ID] = lease.Target
+	d.queue.Expect(t.ID, time.Duration(float64(t.Expected)/d.learned.Speed(lease.Target)))
 	limit := t.Deadline.Sub(now)
 	if row, ok := d.table.Row(t.Key); ok {
 		limit = min(limit, row.TimeLimit.Std())
--- a/tamarackpin/internal/server/run.go
+++ b/tamarackpin/internal/server/run.go
@@ -107,9 +107,10 @@
 		case <-v.ctx.Done():
 			return
 		case <-t.C:
-			waiting, running := v.dispatcher.Load(v.ctx)
-			v.demand.Store(int64(waiting + running))
-			v.waiting.Store(int64(waiting))
+			load := v.dispatcher.Load(v.ctx)
+			v.waiting.Store(int64(load.Waiting))
+			v.running.Store(int64(load.Running))
+			v.claim.Store(int64(load.Claim))
 		}
 	}
 }
--- a/tamarackpin/internal/server/server.go
+++ b/tamarackpin/internal/server/server.go
@@ -56,11 +56,12 @@
 	caller     *caller.Backend
 	metrics    *metrics.Metrics
 
-	demand    atomic.Int64 // tasks that wait or run
-	waiting   atomic.Int64
-	confirmed atomic.Bool // the View is as late as the quorum's, or the best there is
-	draining  atomic.Bool // not ready any more
-	refusing  atomic.Bool // new work is refused
+	waiting   atomic.Int64 // tasks without a slot
+	running   atomic.Int64 // tasks on targets
+	claim     atomic.Int64 // what counts when slots are divided
+	confirmed atomic.Bool  // the View is as late as the quorum's, or the best there is
+	draining  atomic.Bool  // not ready any more
+	refusing  atomic.Bool  // new work is refused
 	drain     chan struct{}
 	drainOnce sync.Once
 
@@ -113,7 +114,7 @@
 	v.sender = targets.NewSender(targetTLS, &v.recorder, v.log)
 	v.member = member.New(member.Config{
 		Self: v.self, Incarnation: v.incarnation, VMs: v.settings.VMs, Mesh: v.mesh, Log: v.log,
-		Demand:       func() int { return int(v.demand.Load()) },
+		Demand:       func() int { return int(v.claim.Load()) },
 		ControlIndex: func() uint64 { return uint64(v.view().Index) },
 		Targets:      v.dispatcher.SetTargets,
 		Heard:        func(h vm.Heartbeat) { v.controller.Heard(h) },
@@ -140,7 +141,7 @@
 	}
 	v.metrics, err = metrics.New(metrics.Gauges{
 		Waiting: v.waiting.Load,
-		Running: func() int64 { return v.demand.Load() - v.waiting.Load() },
+		Running: v.running.Load,
 		InHand:  func() int64 { return v.caller.InHand() },
 		TableVersion: func() int64 {
 			return int64(v.view().Table.Version())
@@ -204,12 +205,12 @@
 func (v *Server) beginDrain() { v.drainOnce.Do(func() { close(v.drain) }) }
 
 func (v *Server) status(ctx context.Context) operator.Status {
-	waiting, running := v.dispatcher.Load(ctx)
+	load := v.dispatcher.Load(ctx)
 	s := operator.Status{
 		VM: v.self.VM, FailureDomain: v.self.FailureDomain, Incarnation: v.incarnation,
 		Uptime: wire.Duration(time.Since(v.begun).Round(time.Millisecond)),
 		Ready:  v.ready(), Draining: v.draining.Load(),
-		InHand: v.caller.InHand(), Waiting: waiting, Running: running,
+		InHand: v.caller.InHand(), Waiting: load.Waiting, Running: load.Running,
 		Control: v.controller.Status(ctx), Ledgers: v.ledgers.States(),
 	}
 	for _, one := range v.member.Living() {
