--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -20,6 +20,7 @@
 	index       quorum.Index
 	store       table.Store
 	assignments map[submission.LedgerID]ledger.Assignment
+	assignedAt  quorum.Index // of the last command that changed assignments
 }
 
 // Index returns the index of the last command that changed something.
@@ -47,7 +48,7 @@
 		}
 	case c.Assign != nil:
 		if r.Refusal = s.assign(*c.Assign); r.Refusal == nil {
-			s.index = index
+			s.index, s.assignedAt = index, index
 		}
 	}
 	r.Index = s.index
@@ -105,7 +106,7 @@
 	if err := json.Unmarshal(b, &j); err != nil {
 		return errors.Wrap(err, "decoding the control state")
 	}
-	*s = State{index: j.Index, assignments: make(map[submission.LedgerID]ledger.Assignment)}
+	*s = State{index: j.Index, assignedAt: j.Index, assignments: make(map[submission.LedgerID]ledger.Assignment)}
 	if j.Store != nil {
 		s.store = *j.Store
 	}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -42,17 +42,21 @@
 // Update is what an entry VM that knows a View is sent to make a later one.
 type Update struct {
 	Index       quorum.Index        `json:"index"`
-	Table       *table.Snapshot     `json:"table,omitempty"`   // whole, if Changes would not do
-	Changes     []table.Entry       `json:"changes,omitempty"` // since the version it knows
-	Assignments []ledger.Assignment `json:"assignments"`
+	Table       *table.Snapshot     `json:"table,omitempty"`       // whole, if Changes would not do
+	Changes     []table.Entry       `json:"changes,omitempty"`     // since the version it knows
+	Assignments []ledger.Assignment `json:"assignments,omitempty"` // absent if as they were
 }
 
 // maxUpdateChanges is how many changes are sent before the whole table is.
 const maxUpdateChanges = 100
 
-// Update returns what brings an entry VM that knows version up to date.
-func (s *State) Update(version table.Version) Update {
-	u := Update{Index: s.index, Assignments: sortedAssignments(s.assignments)}
+// Update returns what brings an entry VM up to date that has the View of index,
+// with this version of the table.
+func (s *State) Update(index quorum.Index, version table.Version) Update {
+	u := Update{Index: s.index}
+	if index < s.assignedAt {
+		u.Assignments = sortedAssignments(s.assignments)
+	}
 	changes, ok := s.store.Since(version)
 	if !ok || len(changes) > maxUpdateChanges {
 		u.Table = s.store.Current()
@@ -69,6 +73,9 @@
 		return v, nil
 	}
 	next := &View{Index: u.Index, Table: u.Table, Assignments: u.Assignments}
+	if u.Assignments == nil {
+		next.Assignments = v.Assignments
+	}
 	if next.Table == nil {
 		var err error
 		if next.Table, err = table.Replay(v.Table, u.Changes); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,7 +72,7 @@
 
 // Retention bounds what a ledger keeps of finished submissions.
 type Retention struct {
-	Submissions int           `json:"submissions" default:"100000" min:"1" max:"10000000" doc:"Finished submissions that a ledger knows by their id."`
+	Submissions int           `json:"submissions" default:"30000" min:"1" max:"10000000" doc:"Finished submissions that a ledger knows by their id."`
 	AnswerBytes int           `json:"answer_bytes" default:"16777216" min:"0" max:"1073741824" doc:"Bytes of answers and bodies that a ledger holds; the oldest answers go first."`
 	Answers     wire.Duration `json:"answers" default:"5m" min:"0s" max:"24h" doc:"How long a ledger keeps answers."`
 }
--- a/tamarackpin/internal/controller/member.go
+++ b/tamarackpin/internal/controller/member.go
@@ -263,7 +263,7 @@
 	if m.state.Index() <= m.k.View().Index {
 		return
 	}
-	if err := m.k.adoptUpdate(m.state.Update(m.k.View().Table.Version())); err != nil {
+	if err := m.k.adoptUpdate(m.state.Update(m.k.View().Index, m.k.View().Table.Version())); err != nil {
 		m.k.config.Log.Debug("putting a view in force failed", zap.Error(err))
 	}
 }
--- a/tamarackpin/internal/controller/view.go
+++ b/tamarackpin/internal/controller/view.go
@@ -13,6 +13,7 @@
 	"tamarackpin.example/internal/control"
 	"tamarackpin.example/internal/disk"
 	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/quorum"
 	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/table"
 	"tamarackpin.example/internal/vm"
@@ -92,6 +93,7 @@
 
 // fetchRequest asks for what follows a View.
 type fetchRequest struct {
+	Index   quorum.Index  `json:"index"`
 	Version table.Version `json:"version"` // of its table
 }
 
@@ -117,7 +119,8 @@
 func (k *Controller) fetch(ctx context.Context, from vm.ID) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	u, err := peer.Call[control.Update](ctx, k.config.Mesh, from, report.UseControl, methodFetch, fetchRequest{k.View().Table.Version()})
+	v := k.View()
+	u, err := peer.Call[control.Update](ctx, k.config.Mesh, from, report.UseControl, methodFetch, fetchRequest{v.Index, v.Table.Version()})
 	if err != nil {
 		return err
 	}
@@ -134,7 +137,7 @@
 	k.member.do(ctx, func(m *member, _ time.Time) {
 		// What is committed but not in force here yet may be served as well.
 		if m.state.Index() >= u.Index {
-			u = m.state.Update(r.Version)
+			u = m.state.Update(r.Index, r.Version)
 		}
 	})
 	return u, nil
--- a/tamarackpin/internal/member/member.go
+++ b/tamarackpin/internal/member/member.go
@@ -85,7 +85,7 @@
 
 // fullEvery is how many times in a row a target is passed on before its
 // announcement is in full again, for those who missed it.
-const fullEvery = 5
+const fullEvery = 10
 
 // passed is an announcement that is to be passed on.
 type passed struct {
@@ -379,8 +379,12 @@
 	if h.VM != from {
 		return struct{}{}, nil
 	}
+	now := time.Now()
 	m.mu.Lock()
-	newer := m.view.Observe(time.Now(), h)
+	if !m.view.Alive(now, from) {
+		delete(m.told, from) // it may have missed what it was told, or restarted
+	}
+	newer := m.view.Observe(now, h)
 	m.mu.Unlock()
 	if newer {
 		m.config.Heard(h)
