Split grown files; say what demand counts

Moved, not changed: heartbeats, announcements, admission, saving and the state that a dispatcher is told into files of their own. Comments still called demand "tasks running or waiting" after it was counted by weight.

Ruled out: splitting ledger.Copy and wal.Log; each is one type with one invariant. Before and after: the same tests pass.

--- a/internal/target/split.go
+++ b/internal/target/split.go
@@ -9,7 +9,7 @@
 // Claim is one entry VM's claim on the slots of its failure domain.
 type Claim struct {
 	VM     vm.ID
-	Demand int // tasks running or waiting there
+	Demand int // tasks there, of each row at most its weight
 }
 
 // Split divides the slots of target id among the claims, which must be in the
--- a/tamarackpin/internal/controller/member.go
+++ b/tamarackpin/internal/controller/member.go
@@ -179,50 +179,6 @@
 	return m.compact(ctx)
 }
 
-// save returns once r is on disk. A full disk is waited for: the member is
-// silent meanwhile, so the others go on without it.
-func (m *member) save(ctx context.Context, r quorum.Ready) error {
-	if r.Install != nil {
-		saved := quorum.Saved{HardState: m.saved.HardState, Snapshot: *r.Install}
-		if r.HardState != nil {
-			saved.HardState = *r.HardState
-		}
-		if err := m.insist(ctx, func() error { return m.log.SaveSnapshot(saved) }); err != nil {
-			return err
-		}
-	}
-	if r.HardState != nil {
-		m.saved.HardState = *r.HardState
-	}
-	if r.HardState != nil || len(r.Entries) > 0 || r.Install != nil {
-		m.empty = false
-	}
-	return m.insist(ctx, func() error { return m.log.Save(r.HardState, r.Entries) })
-}
-
-func (m *member) insist(ctx context.Context, write func() error) error {
-	logged := false
-	for {
-		err := write()
-		if err == nil {
-			return nil
-		}
-		if errors.Is(err, wal.ErrBroken) {
-			event.Log(m.k.config.Log, event.FileFault, zap.Error(err))
-			return err
-		}
-		if !logged {
-			event.Log(m.k.config.Log, event.FileFault, zap.Error(err))
-			logged = true
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(saveRetryEvery):
-		}
-	}
-}
-
 // apply takes committed entries into the state and answers their proposers.
 func (m *member) apply(ctx context.Context, r quorum.Ready) error {
 	before := m.state.Index()
@@ -304,19 +260,6 @@
 	}
 }
 
-// compact replaces a long log by a snapshot.
-func (m *member) compact(ctx context.Context) error {
-	if m.log.Size() < compactBytes && m.core.LogLength() < compactEntries {
-		return nil
-	}
-	data, err := json.Marshal(&m.state)
-	if err != nil {
-		return errors.Wrap(err, "encoding the control state")
-	}
-	saved := quorum.Saved{HardState: m.saved.HardState, Snapshot: m.core.Compact(data), Entries: m.core.Entries()}
-	return m.insist(ctx, func() error { return m.log.SaveSnapshot(saved) })
-}
-
 // sendLoop sends the quorum's messages to one other member.
 func (m *member) sendLoop(ctx context.Context, to vm.ID, out *ring.Ring[quorum.Message]) {
 	for {
--- a/tamarackpin/internal/dispatch/dispatcher.go
+++ b/tamarackpin/internal/dispatch/dispatcher.go
@@ -16,7 +16,6 @@
 	"tamarackpin.example/internal/ring"
 	"tamarackpin.example/internal/table"
 	"tamarackpin.example/internal/target"
-	"tamarackpin.example/internal/wire"
 )
 
 // Sizes and times of the goroutine.
@@ -250,58 +249,6 @@
 	})
 }
 
-// SetTable puts a table in force.
-func (d *Dispatcher) SetTable(s *table.Snapshot, p queue.Place) {
-	d.post(func(d *Dispatcher, _ time.Time) {
-		d.table = s
-		d.queue.SetTable(s, p)
-	})
-}
-
-// SetTargets puts the live targets in force, and this entry VM's part of each.
-func (d *Dispatcher) SetTargets(live []target.Lease, part func(target.Lease) int) {
-	d.post(func(d *Dispatcher, now time.Time) {
-		d.live = live
-		d.slots.Set(now, live, part)
-		d.queue.SetSlots(d.slots.Total())
-		known := make(map[target.ID]bool, len(live))
-		for _, l := range live {
-			known[l.Target] = true
-		}
-		d.health.Forget(func(id target.ID) bool { return known[id] })
-		d.learned.Forget(func(id target.ID) bool { return known[id] })
-	})
-}
-
-// Load is what a Dispatcher has to do.
-type Load struct {
-	Waiting int // tasks without a slot
-	Running int // tasks on targets
-	Claim   int // what counts when slots are divided
-}
-
-// Load returns the present Load.
-func (d *Dispatcher) Load(ctx context.Context) (l Load) {
-	_ = d.do(ctx, func(d *Dispatcher, _ time.Time) { l = Load{d.queue.Waiting(), d.queue.Running(), d.queue.Claim()} })
-	return l
-}
-
-// Targets returns the live targets.
-func (d *Dispatcher) Targets(ctx context.Context) (states []TargetState) {
-	_ = d.do(ctx, func(d *Dispatcher, now time.Time) {
-		for _, l := range d.live {
-			states = append(states, TargetState{
-				Announcement: l.Announcement,
-				Usage:        d.slots.Usage(l.Target),
-				ExpiresIn:    wire.Duration(l.Expires.Sub(now)),
-				Speed:        d.learned.Speed(l.Target),
-				SetAside:     d.health.Aside(l.Target),
-			})
-		}
-	})
-	return states
-}
-
 // tick refuses what is overdue and counts idle slots.
 func (d *Dispatcher) tick(now time.Time) {
 	for _, t := range d.queue.Overdue(now) {
