Fast slots kept for urgent rows, as many as their demand says

Change: kept are the average of urgent demand over 2 s and one standard deviation. Waits are estimated with the slots that an entry VM gets once it has as much to do as the others.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -113,16 +113,15 @@
 	}
 }
 
-// Next takes out the task to start now, of a kind for which runnable reports
-// true. Urgent rows go before others; among equals the row that had the least
+// Next takes out the task to start now, of a row for which runnable reports true. Urgent rows go before others; among equals the row that had the least
 // service for its weight goes first.
-func (q *Queue) Next(_ time.Time, runnable func(party.Kind) bool) (Task, bool) {
+func (q *Queue) Next(_ time.Time, runnable func(table.Row) bool) (Task, bool) {
 	var best *rowState
 	for _, r := range q.backlogged {
 		if best != nil && !r.before(best) {
 			continue
 		}
-		if r.inFlight < q.share(r.row.MaxInFlight) && runnable(r.row.Kind) {
+		if r.inFlight < q.share(r.row.MaxInFlight) && runnable(r.row) {
 			best = r
 		}
 	}
@@ -233,6 +232,17 @@
 	return claim
 }
 
+// Urgent returns the number of tasks of urgent rows that wait or run.
+func (q *Queue) Urgent() int {
+	n := 0
+	for _, r := range q.rows {
+		if r.row.Urgent {
+			n += len(r.heap) + r.inFlight
+		}
+	}
+	return n
+}
+
 // take removes w from what waits.
 func (q *Queue) take(w *waiting) {
 	delete(q.tasks, w.ID)
--- a/internal/target/slots.go
+++ b/internal/target/slots.go
@@ -1,6 +1,8 @@
 package target
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"tamarackpin.example/internal/party"
@@ -18,7 +20,9 @@
 	part   int       // slots that this entry VM may use now
 	due    int       // least part that was due since raised, if over part
 	raised time.Time // since when more than part is due
+	kept   int       // of part, for urgent tasks only
 	used   int
+	usual  int // of used, by tasks that are not urgent
 	live   bool
 }
 
@@ -69,23 +73,29 @@
 	}
 }
 
+// Want is what a task needs of a target.
+type Want struct {
+	Kind   party.Kind
+	Urgent bool // may take slots that are kept for urgent tasks
+}
+
 // Free reports whether Acquire would find a slot.
-func (s *Slots) Free(k party.Kind, speed func(ID) float64) bool {
+func (s *Slots) Free(w Want, speed func(ID) float64) bool {
 	for id, p := range s.places {
-		if p.free(k) && speed(id) > 0 {
+		if p.free(w) && speed(id) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// Acquire takes a slot of the best target that runs k and has one free, by
-// speed; a target for which speed returns zero or less is passed over.
-func (s *Slots) Acquire(k party.Kind, speed func(ID) float64) (Lease, bool) {
+// Acquire takes a slot of the best target that runs the kind and has one free,
+// by speed; a target for which speed returns zero or less is passed over.
+func (s *Slots) Acquire(w Want, speed func(ID) float64) (Lease, bool) {
 	var best *place
 	var bestSpeed float64
 	for id, p := range s.places {
-		if !p.free(k) {
+		if !p.free(w) {
 			continue
 		}
 		v := speed(id)
@@ -100,20 +110,47 @@
 		return Lease{}, false
 	}
 	best.used++
+	if !w.Urgent {
+		best.usual++
+	}
 	return best.lease, true
 }
 
-func (p *place) free(k party.Kind) bool {
-	return p.live && p.used < p.part && p.lease.Runs(k)
+func (p *place) free(w Want) bool {
+	return p.live && p.used < p.part && (w.Urgent || p.usual < p.part-p.kept) && p.lease.Runs(w.Kind)
+}
+
+// Keep keeps count slots for urgent tasks, those of the fastest targets.
+func (s *Slots) Keep(count int, speed func(ID) float64) {
+	live := make([]*place, 0, len(s.places))
+	for _, p := range s.places {
+		p.kept = 0
+		if p.live {
+			live = append(live, p)
+		}
+	}
+	slices.SortFunc(live, func(a, b *place) int {
+		if c := cmp.Compare(speed(b.lease.Target), speed(a.lease.Target)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.lease.Target, b.lease.Target)
+	})
+	for _, p := range live {
+		p.kept = min(count, p.part)
+		count -= p.kept
+	}
 }
 
-// Release gives back a slot of id.
-func (s *Slots) Release(id ID) {
+// Release gives back a slot of id that a task with w took.
+func (s *Slots) Release(id ID, w Want) {
 	p := s.places[id]
 	if p == nil || p.used == 0 {
 		return
 	}
 	p.used--
+	if !w.Urgent {
+		p.usual--
+	}
 	if !p.live && p.used == 0 {
 		delete(s.places, id)
 	}
--- a/tamarackpin/internal/dispatch/dispatcher.go
+++ b/tamarackpin/internal/dispatch/dispatcher.go
@@ -49,7 +49,8 @@
 	health   target.Health
 	learned  estimate.Estimator
 	asked    map[queue.TaskID]asked
-	granted  map[queue.TaskID]target.ID
+	granted  map[queue.TaskID]taken
+	reserve  queue.Reserve
 	table    *table.Snapshot
 	live     []target.Lease
 	lastID   queue.TaskID
@@ -62,6 +63,12 @@
 	tell func(Grant)
 }
 
+// taken is the slot that a granted task has.
+type taken struct {
+	target target.ID
+	want   target.Want
+}
+
 // New returns a Dispatcher that is not running yet.
 func New(c Config) *Dispatcher {
 	return &Dispatcher{
@@ -69,7 +76,7 @@
 		ring:    ring.New[command](ringSize),
 		stopped: make(chan struct{}),
 		asked:   make(map[queue.TaskID]asked),
-		granted: make(map[queue.TaskID]target.ID),
+		granted: make(map[queue.TaskID]taken),
 		table:   &table.Snapshot{},
 	}
 }
@@ -195,10 +202,11 @@
 	if !ok {
 		return Settled{}
 	}
-	id := d.granted[e.Task]
+	slot := d.granted[e.Task]
+	id := slot.target
 	delete(d.asked, e.Task)
 	delete(d.granted, e.Task)
-	d.slots.Release(id)
+	d.slots.Release(id, slot.want)
 	d.queue.Done(e.Task, e.Service)
 	d.judge(now, id, a.task.Key, e.Code)
 	if e.Code != code.OK {
@@ -242,8 +250,9 @@
 		if _, ok := d.asked[id]; !ok {
 			return
 		}
-		d.slots.Release(d.granted[id])
-		d.health.Avoid(now, d.granted[id], avoid)
+		slot := d.granted[id]
+		d.slots.Release(slot.target, slot.want)
+		d.health.Avoid(now, slot.target, avoid)
 		delete(d.granted, id)
 		d.queue.Requeue(id)
 	})
@@ -257,6 +266,8 @@
 		a.tell(Grant{Task: t, Refusal: code.New(code.DeadlinePassed, "the task waited %s for a slot", now.Sub(t.Arrived).Round(time.Millisecond))})
 	}
 	total := d.slots.Total()
+	d.reserve.Observe(now, d.queue.Urgent())
+	d.slots.Keep(d.reserve.Slots(total), d.learned.Speed)
 	d.config.Recorder.Slots(now.Sub(d.lastTick), total, max(0, total-d.queue.Running()), d.queue.Waiting())
 	d.lastTick = now
 }
@@ -269,32 +280,37 @@
 		}
 		return d.learned.Speed(id)
 	}
-	// full remembers the kinds that have no slot left in this round.
-	full := make(map[party.Kind]bool)
+	// full remembers what has no slot left in this round.
+	full := make(map[target.Want]bool)
 	for d.queue.Waiting() > 0 {
-		var lease target.Lease
-		acquired := false
-		t, ok := d.queue.Next(now, func(k party.Kind) bool {
-			if full[k] {
+		var want target.Want
+		t, ok := d.queue.Next(now, func(r table.Row) bool {
+			w := target.Want{Kind: r.Kind, Urgent: r.Urgent}
+			if full[w] {
 				return false
 			}
-			free := d.slots.Free(k, speed)
-			full[k] = !free
+			free := d.slots.Free(w, speed)
+			full[w] = !free
+			if free {
+				want = w
+			}
 			return free
 		})
-		if ok {
-			lease, acquired = d.slots.Acquire(t.Key.Kind, speed)
+		if !ok {
+			return
 		}
+		lease, acquired := d.slots.Acquire(want, speed)
 		if !acquired {
+			d.queue.Requeue(t.ID)
 			return
 		}
-		d.tellGranted(now, t, lease)
+		d.tellGranted(now, t, lease, want)
 	}
 }
 
-func (d *Dispatcher) tellGranted(now time.Time, t queue.Task, lease target.Lease) {
+func (d *Dispatcher) tellGranted(now time.Time, t queue.Task, lease target.Lease, want target.Want) {
 	d.health.Sent(now, lease.Target)
-	d.granted[t.ID] = lease.Target
+	d.granted[t.ID] = taken{lease.Target, want}
 	d.queue.Expect(t.ID, time.Duration(float64(t.Expected)/d.learned.Speed(lease.Target)))
 	limit := t.Deadline.Sub(now)
 	if row, ok := d.table.Row(t.Key); ok {
--- a/tamarackpin/internal/dispatch/state.go
+++ b/tamarackpin/internal/dispatch/state.go
@@ -18,12 +18,13 @@
 	})
 }
 
-// SetTargets puts the live targets in force, and this entry VM's part of each.
-func (d *Dispatcher) SetTargets(live []target.Lease, part func(target.Lease) int) {
+// SetTargets puts the live targets in force, and this entry VM's part of each,
+// as one of sharers.
+func (d *Dispatcher) SetTargets(live []target.Lease, part func(target.Lease) int, sharers int) {
 	d.post(func(d *Dispatcher, now time.Time) {
 		d.live = live
 		d.slots.Set(now, live, part)
-		d.queue.SetSlots(d.slots.Total())
+		d.queue.SetSlots(max(d.slots.Total(), dueSlots(live, sharers)))
 		known := make(map[target.ID]bool, len(live))
 		for _, l := range live {
 			known[l.Target] = true
@@ -61,3 +62,14 @@
 	})
 	return states
 }
+
+// dueSlots returns how many slots an entry VM has once it has as much to do as
+// the others. Waits are estimated with them: a part that is small now, as after a
+// start, grows with what waits.
+func dueSlots(live []target.Lease, sharers int) int {
+	slots := 0
+	for _, l := range live {
+		slots += l.Slots
+	}
+	return slots / max(1, sharers)
+}
--- a/tamarackpin/internal/member/member.go
+++ b/tamarackpin/internal/member/member.go
@@ -45,9 +45,10 @@
 	Log          *zap.Logger
 	Demand       func() int    // what counts here when slots are divided
 	ControlIndex func() uint64 // of the View in force here
-	// Targets is told the live targets of this failure domain and the part of
-	// each that is this entry VM's, whenever they may have changed.
-	Targets func(live []target.Lease, part func(target.Lease) int)
+	// Targets is told the live targets of this failure domain, the part of each
+	// that is this entry VM's, and among how many entry VMs they are divided,
+	// whenever they may have changed.
+	Targets func(live []target.Lease, part func(target.Lease) int, sharers int)
 	// Heard is told every newer heartbeat.
 	Heard func(vm.Heartbeat)
 }
@@ -188,7 +189,7 @@
 	m.mu.Unlock()
 	m.config.Targets(live, func(l target.Lease) int {
 		return target.Split(l.Target, l.Slots, claims)[m.config.Self.VM]
-	})
+	}, len(claims))
 }
 
 // claims returns the claims of the entry VMs of this failure domain. The
