--- a/internal/wire/set.go
+++ b/internal/wire/set.go
@@ -20,12 +20,6 @@
 	return s
 }
 
-// Has reports whether v is in s.
-func (s Set[T]) Has(v T) bool {
-	_, ok := s[v]
-	return ok
-}
-
 // Sorted returns the members in ascending order.
 func (s Set[T]) Sorted() []T { return slices.Sorted(maps.Keys(s)) }
 
