A restarted entry VM is told all targets; waits are not overestimated

Since renewals are passed on in short, an entry VM that restarts before it counts as dead was not told its targets in full for up to ten renewals. And a wait was estimated by the row's share of weight alone, with every row that waits taken to use its own, though slots do not idle.

Ruled out: the renewals alone.

--- a/internal/queue/admit.go
+++ b/internal/queue/admit.go
@@ -54,21 +54,27 @@
 }
 
 // wait estimates how long a task that arrives in r now waits: the work that
-// goes before it over the slots that the row gets. Less urgent rows do not
-// count, and neither does work of other rows beyond the row's own share.
+// goes before it over the slots that the row gets. The row gets its share by
+// weight at least; and since slots do not idle while work waits, it waits no
+// longer than for all that waits, but for less urgent rows.
 func (q *Queue) wait(r *rowState) time.Duration {
 	if len(r.heap) == 0 || q.slots == 0 {
 		return 0
 	}
 	weights := 0
+	var all time.Duration
 	for _, o := range q.backlogged {
 		if o.row.Urgent == r.row.Urgent {
 			weights += o.row.Weight
 		}
+		if o.row.Urgent || !r.row.Urgent {
+			all += o.backlog
+		}
 	}
 	part := float64(q.slots) * float64(r.row.Weight) / float64(max(1, weights))
 	part = min(part, float64(q.share(r.row.MaxInFlight)))
-	return time.Duration(float64(r.backlog) / max(1, part))
+	own := time.Duration(float64(r.backlog) / max(1, part))
+	return min(own, all/time.Duration(min(q.slots, q.share(r.row.MaxInFlight))))
 }
 
 func (q *Queue) share(limit int) int {
--- a/internal/queue/reserve.go
+++ b/internal/queue/reserve.go
@@ -16,7 +16,7 @@
 	// reserveLeast is the average demand under which nothing is kept.
 	reserveLeast = 0.05
 	// reserveMost is the part of all slots that may be kept.
-	reserveMost = 0.5
+	reserveMost = 0.3
 )
 
 // Reserve works out how many slots to keep for urgent tasks, so that these do
--- a/internal/vm/view.go
+++ b/internal/vm/view.go
@@ -47,6 +47,9 @@
 	return ok && now.Sub(s.Heard) < DeadAfter
 }
 
+// Incarnation returns the newest incarnation of id that was heard, or 0.
+func (v *View) Incarnation(id ID) Incarnation { return v.states[id].Heartbeat.Incarnation }
+
 // Living returns the states of the living entry VMs in the order of their ids.
 func (v *View) Living(now time.Time) []State {
 	var living []State
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,7 +5,7 @@
 #   scripts/demo.sh             play a workload
 #   scripts/demo.sh --kill      kill -9 one entry VM in the middle of it
 #
-# LENGTH, LOAD and SEED set the trace; MEASURE=1 prints what the processes took.
+# WORKLOAD, LENGTH, LOAD and SEED set the trace; MEASURE=1 prints what the processes took.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -14,6 +14,7 @@
 length=${LENGTH:-12s}
 load=${LOAD:-0.5}
 seed=${SEED:-1}
+workload=${WORKLOAD:-bunkerline}
 
 mkdir -p bin
 go build -o bin ./tamarackpin ./tamarackpinctl ./tamarackpinload
@@ -86,7 +87,7 @@
 fi
 # Slots times speed of five targets from 1 to 4, in three domains: about 257.
 status=0
-bin/tamarackpinload run --workload bunkerline --length "$length" --load "$load" --capacity 257 --seed "$seed" \
+bin/tamarackpinload run --workload "$workload" --length "$length" --load "$load" --capacity 257 --seed "$seed" \
   --record 127.0.0.1:7500 \
   --entries 127.0.0.1:7200,127.0.0.1:7201,127.0.0.1:7202,127.0.0.1:7203,127.0.0.1:7204,127.0.0.1:7205,127.0.0.1:7206 || status=$?
 echo
--- a/tamarackpin/internal/member/heartbeat.go
+++ b/tamarackpin/internal/member/heartbeat.go
@@ -80,8 +80,8 @@
 	}
 	now := time.Now()
 	m.mu.Lock()
-	if !m.view.Alive(now, from) {
-		delete(m.told, from) // it may have missed what it was told, or restarted
+	if !m.view.Alive(now, from) || m.view.Incarnation(from) != h.Incarnation {
+		delete(m.told, from) // it may have missed what it was told, or forgot it
 	}
 	newer := m.view.Observe(now, h)
 	m.mu.Unlock()
--- a/tamarackpinload/internal/cmd/play.go
+++ b/tamarackpinload/internal/cmd/play.go
@@ -87,7 +87,7 @@
 
 // made is how a trace is made.
 type made struct {
-	Workload string        `long:"workload" default:"bunkerline" description:"bunkerline or tangles."`
+	Workload string        `long:"workload" default:"bunkerline" description:"bunkerline, tangles or jobs."`
 	Length   time.Duration `long:"length" default:"10s" description:"Length of the trace."`
 	Load     float64       `long:"load" default:"0.5" description:"Part of the targets' capacity that the work takes."`
 	Capacity float64       `long:"capacity" required:"true" description:"Sum over all targets of slots times speed."`
--- a/tamarackpinload/internal/trace/workload.go
+++ b/tamarackpinload/internal/trace/workload.go
@@ -62,14 +62,20 @@
 	{Kind: "photo_job", Parties: []party.ID{"arusha-church", "moshi-school", "usa-river-hall"}, Part: .65, Tasks: 60, Median: 300 * time.Millisecond, Spread: .9, Deadline: 2 * time.Minute, Burst: 3, Weight: 5},
 }}
 
+// Jobs is no service's: it measures the ledgers, with jobs of as many tasks as
+// there may be, each of a millisecond.
+var Jobs = Workload{"jobs", []Stream{
+	{Kind: "stock_batch", Parties: []party.ID{"bay-bunkers"}, Part: 1, Tasks: 2000, Median: time.Millisecond, Spread: .1, Deadline: 2 * time.Minute, Burst: 1, Weight: 5},
+}}
+
 // Find returns the workload with this name.
 func Find(name string) (Workload, error) {
-	for _, w := range []Workload{Bunkerline, Tangles} {
+	for _, w := range []Workload{Bunkerline, Tangles, Jobs} {
 		if w.Name == name {
 			return w, nil
 		}
 	}
-	return Workload{}, errors.Newf("workload %q: want bunkerline or tangles", name)
+	return Workload{}, errors.Newf("workload %q: want bunkerline, tangles or jobs", name)
 }
 
 // Kinds returns the kinds of w.
