The overhead's two ways have ids of their own

Cause: the demo's record of starts said "3200 started more than once", since the experiment sent the same ids directly and through an entry VM. Before: 3,200 doubled ids in the demo. After: not run again; the ids differ by construction.

--- a/tamarackpinload/internal/experiment/overhead.go
+++ b/tamarackpinload/internal/experiment/overhead.go
@@ -42,11 +42,11 @@
 	client := caller.New(timeout)
 	var direct, through report.Histogram
 	for i := range o.Requests + warmUp {
-		body := []byte(fmt.Sprintf(`{"id":"overhead-%d","work":"0s"}`, i))
-		one, err := o.direct(ctx, client.HTTP, body)
+		one, err := o.direct(ctx, client.HTTP, fmt.Appendf(nil, `{"id":"overhead-direct-%d","work":"0s"}`, i))
 		if err != nil {
 			return err
 		}
+		body := fmt.Appendf(nil, `{"id":"overhead-%d","work":"0s"}`, i)
 		begun := time.Now()
 		reply, err := client.Request(ctx, o.Entry, request.Request{Key: o.Key, Body: body})
 		other := time.Since(begun)
