Move the quorum member's duty into a package of its own, for any state machine

Cause: the new machines need a replicated table of another kind on VMs that find each other, and the goroutine that owns quorum and log was part of the controller with its static list of VMs. Ruled out: a second copy.

--- /dev/null
+++ b/internal/job/outcome.go
@@ -0,0 +1,12 @@
+package job
+
+// Outcome is what became of a job.
+type Outcome string
+
+// The outcomes.
+const (
+	Completed Outcome = "completed" // all tasks ended well
+	Failed    Outcome = "failed"    // a task failed as often as it may
+	NotRun    Outcome = "not_run"   // refused; no task was started, and none will be
+	Abandoned Outcome = "abandoned" // given up after tasks were started
+)
--- /dev/null
+++ b/internal/lead/leadership.go
@@ -0,0 +1,148 @@
+package lead
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tamarackpin.example/internal/vm"
+)
+
+// Times of a Leadership.
+const (
+	// DeadAfter is how long an entry VM is silent before another takes its
+	// place: three exchanges, which come every 150 ms, and a slowed VM's pause.
+	DeadAfter = 700 * time.Millisecond
+	// settleTime is how long a process listens before it may claim.
+	settleTime = 600 * time.Millisecond
+	// frozenAfter is a pause between two looks after which a process cannot know
+	// what happened meanwhile: longer than a lease lasts at least.
+	frozenAfter = 500 * time.Millisecond
+	// yieldTime is how long a process that a worker refused waits to hear of
+	// the claim that it lost to.
+	yieldTime = time.Second
+)
+
+// Peer is what is known of another entry VM of the failure domain.
+type Peer struct {
+	VM          vm.ID
+	Incarnation vm.Incarnation
+	Draining    bool
+	Heard       time.Time // local time of the last sign of life
+}
+
+// Leadership is one process's knowledge of who leads. It is not safe for
+// concurrent use. It must be made by [New].
+type Leadership struct {
+	self     vm.ID
+	run    vm.Incarnation
+	begun    time.Time
+	looked   time.Time
+	claim    Claim
+	highest  Fence // ever seen
+	refused  time.Time
+	draining bool
+	peers    map[vm.ID]Peer
+}
+
+// New returns the Leadership of a process that starts now.
+func New(now time.Time, self vm.ID, i vm.Incarnation) *Leadership {
+	return &Leadership{self: self, run: i, begun: now, looked: now, peers: make(map[vm.ID]Peer)}
+}
+
+// Hear takes in a sign of life of a peer.
+func (l *Leadership) Hear(now time.Time, id vm.ID, i vm.Incarnation, draining bool) {
+	if id == l.self || i < l.peers[id].Incarnation {
+		return
+	}
+	l.peers[id] = Peer{VM: id, Incarnation: i, Draining: draining, Heard: now}
+}
+
+// Learn takes in a claim that a peer knows.
+func (l *Leadership) Learn(c Claim) {
+	l.highest = max(l.highest, c.Fence)
+	if c.Fence > l.claim.Fence {
+		l.claim = c
+		l.refused = time.Time{}
+	}
+}
+
+// Refused takes in that a worker refused fence f for a higher one.
+func (l *Leadership) Refused(now time.Time, f Fence) {
+	if l.claim.Fence == f && l.Leads() {
+		l.claim = Claim{Fence: f}
+		l.refused = now
+	}
+}
+
+// Drain makes the process claim nothing from now on and give up what it holds.
+func (l *Leadership) Drain() { l.draining = true }
+
+// Claim returns the newest claim.
+func (l *Leadership) Claim() Claim { return l.claim }
+
+// Leads reports whether this process holds the newest claim.
+func (l *Leadership) Leads() bool { return l.claim.VM == l.self && l.claim.Incarnation == l.run }
+
+// Leader returns the entry VM that leads, if it lives.
+func (l *Leadership) Leader(now time.Time) (vm.ID, bool) {
+	if l.Leads() {
+		return l.self, true
+	}
+	if l.alive(now, l.claim.VM, l.claim.Incarnation) {
+		return l.claim.VM, true
+	}
+	return "", false
+}
+
+func (l *Leadership) alive(now time.Time, id vm.ID, i vm.Incarnation) bool {
+	p, ok := l.peers[id]
+	return ok && p.Incarnation == i && now.Sub(p.Heard) < DeadAfter
+}
+
+// Tick decides whether this process claims now, and returns the claim if it
+// does. A process that was frozen gives up what it held and listens first.
+func (l *Leadership) Tick(now time.Time) (claim Claim, claimed bool) {
+	paused := now.Sub(l.looked) > frozenAfter
+	l.looked = now
+	if paused {
+		l.begun = now
+		if l.Leads() {
+			l.claim = Claim{Fence: l.claim.Fence}
+		}
+	}
+	if l.draining {
+		if l.Leads() {
+			l.claim = Claim{Fence: l.claim.Fence}
+		}
+		return Claim{}, false
+	}
+	if _, led := l.Leader(now); led || now.Sub(l.begun) < settleTime || now.Sub(l.refused) < yieldTime || !l.first(now) {
+		return Claim{}, false
+	}
+	l.claim = Claim{Fence: next(now, l.self, l.highest), VM: l.self, Incarnation: l.run}
+	l.highest = l.claim.Fence
+	return l.claim, true
+}
+
+// first reports whether this process comes first among those that live.
+func (l *Leadership) first(now time.Time) bool {
+	for _, p := range l.Living(now) {
+		if !p.Draining && p.VM < l.self {
+			return false
+		}
+	}
+	return true
+}
+
+// Living returns the peers that live, in the order of their ids.
+func (l *Leadership) Living(now time.Time) []Peer {
+	var living []Peer
+	for _, p := range l.peers {
+		if now.Sub(p.Heard) < DeadAfter {
+			living = append(living, p)
+		}
+	}
+	slices.SortFunc(living, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
+	return living
+}
--- /dev/null
+++ b/internal/pool/hold.go
@@ -0,0 +1,159 @@
+package pool
+
+import (
+	"time"
+
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/worker"
+)
+
+// send adds an order to w to those that are due.
+func (p *Pool) send(now time.Time, w *workerState, o Order) {
+	if p.fenced {
+		return
+	}
+	o.Worker, o.Incarnation, o.Address = w.Worker, w.Incarnation, w.Address
+	o.Fence, o.Sent = p.config.Fence, now
+	if o.Deadline != 0 {
+		w.extended = later(w.extended, w.timing.Lapse(now, o.Deadline))
+	}
+	p.orders = append(p.orders, o)
+}
+
+// deadline returns a time on w's clock, one lease from now.
+func deadline(now time.Time, w *workerState) worker.Clock {
+	return w.timing.Now(now) + worker.Clock(lease)
+}
+
+// look keeps one hold on its way to each worker that runs something, and looks
+// once at every worker under a new fence.
+func (p *Pool) look(now time.Time, w *workerState) {
+	if p.fenced || w.holding || w.stale || w.Address == "" {
+		return
+	}
+	if w.listed && !w.busy() {
+		return
+	}
+	o := Order{Kind: HoldOrder, Seen: w.seen}
+	if w.listed {
+		o.Wait = holdWait
+	}
+	if w.busy() && w.timing.Known() {
+		o.Deadline = deadline(now, w)
+	}
+	w.holding, w.holdAt = true, now
+	p.send(now, w, o)
+}
+
+// held takes in the reply to a hold.
+func (p *Pool) held(now time.Time, w *workerState, r Reply) {
+	w.holding = false
+	if !r.Done {
+		return
+	}
+	for _, e := range r.Ended {
+		if e.Number > w.seen {
+			w.seen = e.Number
+			p.ended(now, w, e)
+		}
+	}
+	listed := make(map[job.Task]job.Run, len(r.Running))
+	for _, t := range r.Running {
+		listed[t.Task] = t.Run
+	}
+	p.compare(now, w, r, listed)
+	w.listed = true
+}
+
+// compare holds what a worker lists against what is known to be there.
+func (p *Pool) compare(now time.Time, w *workerState, r Reply, listed map[job.Task]job.Run) {
+	for _, t := range placedTasks(w) {
+		run, there := listed[t.name]
+		switch {
+		case there && run == t.run:
+			if t.phase == starting {
+				t.phase, t.acked = running, now
+			}
+		case t.phase == running && r.Sent.After(t.acked), t.phase != starting && t.phase != running && r.Sent.After(t.lapse):
+			// It is neither listed nor among the ends, and cannot come any more.
+			p.lose(t)
+			p.tidy(t.of)
+		}
+	}
+	clear(w.alien)
+	for name, run := range listed {
+		if w.tasks[name] != nil {
+			continue
+		}
+		w.alien[name] = run
+		if j := p.jobs[name.Job]; j != nil && !j.ended {
+			p.adopt(j)
+		}
+	}
+	if len(w.alien) > 0 && now.Sub(p.begun) > alienTime {
+		for name, run := range w.alien {
+			p.send(now, w, Order{Kind: StopOrder, Task: name, Run: run})
+		}
+	}
+}
+
+// ended takes in the end of a run.
+func (p *Pool) ended(now time.Time, w *workerState, e End) {
+	delete(w.alien, e.Task)
+	t := w.tasks[e.Task]
+	if t == nil || t.run != e.Run {
+		return
+	}
+	j := t.of
+	began := t.ordered
+	wasRunning := t.phase == running || t.phase == starting
+	t.release()
+	switch {
+	case e.How == EndedDone:
+		p.Counts.Done++
+		w.failures = 0
+		t.phase = ended
+		if wasRunning && !t.acked.IsZero() && began != p.begun {
+			p.learn.Observe(j.Row, t.step, w.Kind, w.Worker, now.Sub(began))
+		}
+		j.left--
+		if j.left == 0 && !j.ended {
+			p.answer(now, j, Answer{Outcome: job.Completed})
+		}
+	case e.How == EndedFailed:
+		p.Counts.Failed++
+		t.failed++
+		p.failedOn(now, w)
+		t.phase = waiting
+		if !j.ended && j.MaxAttempts > 0 && t.failed >= j.MaxAttempts {
+			p.answer(now, j, Answer{Outcome: job.Failed, Reason: "a task failed as often as it may"})
+		}
+	default:
+		if e.How == EndedLapsed {
+			p.Counts.Lapsed++
+		}
+		t.phase = waiting
+	}
+	if j.ended {
+		t.phase = ended
+	}
+	p.tidy(j)
+}
+
+// failedOn takes in that a task failed on w. One failure may be the task's own;
+// several in a row speak against the worker.
+func (p *Pool) failedOn(now time.Time, w *workerState) {
+	w.failures++
+	if w.failures >= failuresToShun {
+		p.shun(now, w, w.failures-failuresToShun)
+	}
+}
+
+// failuresToShun is how many tasks in a row must fail on a worker before it is
+// avoided.
+const failuresToShun = 2
+
+// shun keeps new tasks from w for a time that doubles with each time in a row.
+func (p *Pool) shun(now time.Time, w *workerState, times int) {
+	w.avoid = later(w.avoid, now.Add(min(shunTime<<min(times, 6), maxShun)))
+}
--- /dev/null
+++ b/internal/pool/learn.go
@@ -0,0 +1,95 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/routes"
+	"tamarackpin.example/internal/worker"
+)
+
+// Weights of new measurements. Declared and learned times count alike, since
+// both are off by about as much: 40%, as the users say.
+const (
+	rowWeight      = 0.02
+	kindWeight     = 0.02
+	workerWeight   = 0.25
+	declaredWeight = 0.5
+	leastFactor    = 1.0 / 16
+	mostFactor     = 16
+)
+
+// Learner estimates how long tasks take from what is declared and seen. It is
+// not safe for concurrent use. The zero Learner has learned nothing.
+type Learner struct {
+	rows    map[routes.RowName]float64 // logarithm of the work in seconds
+	kinds   map[worker.Kind]float64    // logarithm of time for each unit of work
+	workers map[worker.ID]float64      // the same, against the kind's
+}
+
+// Work returns the expected work of a task: the time that it takes on a worker
+// of factor 1.
+func (l *Learner) Work(r routes.RowName, s *job.Step) time.Duration {
+	declared := s.Estimate.Seconds()
+	learned, known := l.rows[r]
+	switch {
+	case declared <= 0 && !known:
+		return unknownWork
+	case declared <= 0:
+		return seconds(math.Exp(learned))
+	case !known:
+		return s.Estimate
+	}
+	return seconds(math.Exp(declaredWeight*math.Log(declared) + (1-declaredWeight)*learned))
+}
+
+// unknownWork is assumed where nothing is declared or learned: the middle of
+// the users' tasks, most of which take 50 ms to a second.
+const unknownWork = 200 * time.Millisecond
+
+// Factor returns how long a unit of work takes on a worker.
+func (l *Learner) Factor(k worker.Kind, id worker.ID) float64 {
+	return math.Exp(l.kinds[k] + l.workers[id])
+}
+
+// KindFactor returns how long a unit of work takes on workers of a kind.
+func (l *Learner) KindFactor(k worker.Kind) float64 { return math.Exp(l.kinds[k]) }
+
+// Observe takes in that a task took d on a worker.
+func (l *Learner) Observe(r routes.RowName, s *job.Step, k worker.Kind, id worker.ID, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	if l.rows == nil {
+		l.rows, l.kinds = make(map[routes.RowName]float64), make(map[worker.Kind]float64)
+		l.workers = make(map[worker.ID]float64)
+	}
+	work := math.Log(l.Work(r, s).Seconds())
+	took := math.Log(d.Seconds())
+	surprise := clampLog(took - work - l.kinds[k])
+	l.kinds[k] += kindWeight * surprise
+	own := l.workers[id]
+	l.workers[id] = clampLog(own + workerWeight*(surprise-own))
+	if declared := s.Estimate.Seconds(); declared > 0 {
+		// The scale of work is the declared one; only its mean is learned.
+		mean, known := l.rows[r]
+		if !known {
+			mean = math.Log(declared)
+		}
+		l.rows[r] = mean + rowWeight*(math.Log(declared)-mean)
+		return
+	}
+	mean, known := l.rows[r]
+	if !known {
+		mean = took - l.kinds[k]
+	}
+	l.rows[r] = mean + rowWeight*(took-l.kinds[k]-mean)
+}
+
+// Forget drops what was learned of a worker, which started again or left.
+func (l *Learner) Forget(id worker.ID) { delete(l.workers, id) }
+
+func clampLog(x float64) float64 { return min(max(x, math.Log(leastFactor)), math.Log(mostFactor)) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/pool/place.go
@@ -0,0 +1,164 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+)
+
+// place starts what waits, the most pressing first, as long as there is room.
+func (p *Pool) place(now time.Time) {
+	if p.fenced {
+		return
+	}
+	for _, j := range p.queue(now) {
+		if !p.placeJob(now, j) {
+			return
+		}
+	}
+}
+
+// queue returns the jobs with tasks that may start, in the order in which they
+// are served: first those that can still meet their objective, by it; then
+// those that are late.
+func (p *Pool) queue(now time.Time) []*jobState {
+	var list []*jobState
+	for _, j := range p.jobs {
+		if !j.ended && j.waits() && p.settled(now, j) {
+			list = append(list, j)
+		}
+	}
+	slices.SortFunc(list, func(a, b *jobState) int {
+		return cmp.Or(cmp.Compare(a.rank(now), b.rank(now)), a.due.Compare(b.due), cmp.Compare(a.Job.ID, b.Job.ID))
+	})
+	return list
+}
+
+// waits reports whether a task of j waits.
+func (j *jobState) waits() bool {
+	for _, t := range j.tasks {
+		if t.phase == waiting {
+			return true
+		}
+	}
+	return false
+}
+
+// rank is 0 for a job that may be in time, else 1.
+func (j *jobState) rank(now time.Time) int {
+	if now.Add(j.work / 2).After(j.due) {
+		return 1
+	}
+	return 0
+}
+
+// settled reports whether a job may start: one that may run elsewhere waits
+// until every worker was looked at.
+func (p *Pool) settled(now time.Time, j *jobState) bool {
+	if !now.Before(j.settle) {
+		return true
+	}
+	for _, w := range p.workers {
+		if !w.listed && !w.Gone {
+			return false
+		}
+	}
+	return true
+}
+
+// placeJob starts the tasks of j that fit, and reports whether there may be room
+// for others.
+func (p *Pool) placeJob(now time.Time, j *jobState) bool {
+	for _, t := range j.tasks {
+		if t.phase != waiting || !j.open(t.step) {
+			continue
+		}
+		w := p.pick(now, t)
+		if w == nil {
+			return true // another task may be smaller
+		}
+		p.start(now, w, t)
+	}
+	return true
+}
+
+// pick returns the worker for t: the slowest on which it meets the objective, so
+// that the fast ones are free for those that need them; else the fastest.
+func (p *Pool) pick(now time.Time, t *task) *workerState {
+	work := p.learn.Work(t.of.Row, t.step)
+	var best *workerState
+	var bestTime time.Duration
+	bestMeets := false
+	for _, w := range p.workers {
+		if !p.usable(now, w, t) {
+			continue
+		}
+		took := time.Duration(float64(work) * p.learn.Factor(w.Kind, w.Worker))
+		meets := !now.Add(took).After(t.of.due)
+		if best == nil || p.better(w, took, meets, best, bestTime, bestMeets) {
+			best, bestTime, bestMeets = w, took, meets
+		}
+	}
+	return best
+}
+
+func (p *Pool) better(w *workerState, took time.Duration, meets bool, best *workerState, bestTime time.Duration, bestMeets bool) bool {
+	if meets != bestMeets {
+		return meets
+	}
+	a, b := p.learn.KindFactor(w.Kind), p.learn.KindFactor(best.Kind)
+	if a != b {
+		if meets {
+			return a > b
+		}
+		return a < b
+	}
+	if took != bestTime && !meets {
+		return took < bestTime
+	}
+	if w.free.MilliCores != best.free.MilliCores {
+		return w.free.MilliCores < best.free.MilliCores // fill up, to keep whole places
+	}
+	return w.Worker < best.Worker
+}
+
+// usable reports whether t may start on w now.
+func (p *Pool) usable(now time.Time, w *workerState, t *task) bool {
+	if w.Service != t.of.Service || !w.listed || w.stale || len(w.alien) > 0 || !w.Usable(now) || now.Before(w.avoid) || !w.timing.Known() {
+		return false
+	}
+	if !w.free.Fits(t.step.Need) {
+		return false
+	}
+	if t.step.Label != "" && t.step.Label != string(w.Kind) && t.step.Label != string(w.Rack) {
+		return false
+	}
+	return t.step.PerWorker == 0 || w.count(t) < t.step.PerWorker
+}
+
+// count returns the tasks of t's step on w.
+func (w *workerState) count(t *task) int {
+	n := 0
+	for name := range w.tasks {
+		if name.Job == t.name.Job && name.Step == t.name.Step {
+			n++
+		}
+	}
+	return n
+}
+
+// start orders t to start on w.
+func (p *Pool) start(now time.Time, w *workerState, t *task) {
+	p.Counts.Started++
+	t.run++
+	t.phase = starting
+	t.of.began = true
+	t.ordered, t.acked, t.stopped, t.stopAck = now, time.Time{}, time.Time{}, time.Time{}
+	t.assign(w)
+	d := deadline(now, w)
+	t.lapse = w.timing.Lapse(now, d)
+	p.send(now, w, Order{Kind: StartOrder, Task: t.name, Run: t.run, Spec: t.of.Job.Spec, Deadline: d})
+	p.look(now, w)
+}
+
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,268 @@
+// Package pool decides for a group of workers: which task starts where and when,
+// what is refused, and when a task whose fate is unclear may start again. One
+// [Pool] orders all workers of the group under one fence (package lead).
+//
+// It takes in jobs, announcements and replies with the present time, and hands
+// out the orders and answers that follow. It does no I/O.
+//
+// Invariant: a task is on at most one worker, and leaves it only when its end
+// was listed, when a stop was acknowledged and its time has passed, when the
+// incarnation is gone, or when everything ordered there has lapsed. So no task
+// runs twice at once.
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/lead"
+	"tamarackpin.example/internal/worker"
+)
+
+// Config is what a Pool needs to know of its deployment.
+type Config struct {
+	Fence    lead.Fence
+	LeaseMax time.Duration // longest that a worker lets things run without a word
+	StopMax  time.Duration // longest that a stop takes
+}
+
+// Times of a Pool.
+const (
+	// lease is asked for with each order: long enough for two holds to be lost.
+	lease = 800 * time.Millisecond
+	// holdWait is how long a hold waits at the worker for an end.
+	holdWait = 300 * time.Millisecond
+	// OrderTimeout is how long an order may take beside what it waits: some
+	// hundred round trips, and the pause of a VM that is slowed.
+	OrderTimeout = 200 * time.Millisecond
+	// stopAgain is when a stop that had no answer is ordered again.
+	stopAgain = 250 * time.Millisecond
+	// alienTime is how long runs of unknown jobs go on after a takeover, so
+	// that gates can hand the jobs in again.
+	alienTime = 900 * time.Millisecond
+	// settleTime is how long after a takeover a job that may run somewhere waits
+	// for workers that were not looked at: the old dispatcher learns within a
+	// hold that it was replaced, and its leases last one second at most.
+	settleTime = 1500 * time.Millisecond
+	// shunTime is how long a worker gets nothing that refused or failed; it
+	// doubles with each time in a row.
+	shunTime = 100 * time.Millisecond
+	maxShun  = 3 * time.Second
+)
+
+// Pool is the dispatcher of one group. It is not safe for concurrent use. It
+// must be made by [New].
+type Pool struct {
+	config  Config
+	begun   time.Time
+	workers map[worker.ID]*workerState
+	jobs    map[job.ID]*jobState
+	learn   Learner
+
+	orders  []Order
+	answers []Answer
+	fenced  bool // a worker refused the fence: nothing more is ordered
+	Counts  Counts
+}
+
+// Counts are totals since the Pool was made, for logs and metrics.
+type Counts struct {
+	Started, Done, Failed, Lapsed, Lost, Doubtful int
+	Refused                                       map[Refusal]int
+}
+
+// New returns a Pool that takes over the group now.
+func New(now time.Time, c Config) *Pool {
+	return &Pool{
+		config: c, begun: now,
+		workers: make(map[worker.ID]*workerState), jobs: make(map[job.ID]*jobState),
+		Counts: Counts{Refused: make(map[Refusal]int)},
+	}
+}
+
+// Take returns the orders and answers that are due, once.
+func (p *Pool) Take() ([]Order, []Answer) {
+	orders, answers := p.orders, p.answers
+	p.orders, p.answers = nil, nil
+	return orders, answers
+}
+
+// Fenced reports whether a worker refused the Pool's fence.
+func (p *Pool) Fenced() bool { return p.fenced }
+
+// Observe takes in what is known of a worker.
+func (p *Pool) Observe(now time.Time, h worker.Heard) {
+	w := p.workers[h.Worker]
+	if w == nil {
+		w = &workerState{tasks: make(map[job.Task]*task), alien: make(map[job.Task]job.Run), free: h.Room}
+		p.workers[h.Worker] = w
+	}
+	if h.Incarnation < w.Incarnation {
+		return
+	}
+	if w.Incarnation != 0 && h.Incarnation > w.Incarnation {
+		p.reborn(now, w, h)
+	}
+	w.free = w.free.Plus(h.Room.Minus(w.Room))
+	fresh := h.Sequence > w.Sequence || w.Heard.At.IsZero()
+	w.Heard = h
+	if fresh {
+		w.timing.Observe(h.At, h.Clock)
+	}
+	p.look(now, w)
+	p.place(now)
+}
+
+// reborn takes in that a worker started again: it runs nothing any more.
+func (p *Pool) reborn(now time.Time, w *workerState, h worker.Heard) {
+	for _, t := range placedTasks(w) {
+		p.lose(t)
+	}
+	*w = workerState{Heard: w.Heard, tasks: w.tasks, alien: make(map[job.Task]job.Run), free: w.Room}
+	w.Incarnation = h.Incarnation
+	w.Sequence = 0
+	// A new incarnation has seen no order of anybody.
+	w.listed = true
+	p.learn.Forget(h.Worker)
+}
+
+// Forget drops workers that are gone and run nothing.
+func (p *Pool) Forget(keep func(worker.ID) bool) {
+	for id, w := range p.workers {
+		if !keep(id) && !w.busy() && !w.holding {
+			delete(p.workers, id)
+			p.learn.Forget(id)
+		}
+	}
+}
+
+// placedTasks returns the tasks on w in the order of their names.
+func placedTasks(w *workerState) []*task {
+	list := make([]*task, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.name.Job, b.name.Job), cmp.Compare(a.name.Step, b.name.Step), cmp.Compare(a.name.Index, b.name.Index))
+	})
+	return list
+}
+
+// lose takes a task off a worker where it surely does not run, and has it
+// wait again unless its job is over.
+func (p *Pool) lose(t *task) {
+	t.release()
+	if t.of.ended {
+		t.phase = ended
+		return
+	}
+	t.phase = waiting
+	p.Counts.Lost++
+}
+
+// Submit takes in a job. A job that is known already goes on as it is; the
+// answer serves both.
+func (p *Pool) Submit(now time.Time, r Request) {
+	if j := p.jobs[r.Job.ID]; j != nil && !j.ended {
+		j.until = later(j.until, now.Add(r.Patience))
+		return
+	}
+	j := &jobState{Request: r, arrived: now.Add(-r.Age), until: now.Add(r.Patience)}
+	if r.MayRun {
+		j.settle = p.begun.Add(settleTime)
+	}
+	j.work = j.longest(func(s *job.Step) time.Duration { return p.learn.Work(r.Row, s) })
+	j.due = j.arrived.Add(time.Duration(r.Stretch*float64(j.work)) + r.Latency)
+	tasksOf(j)
+	if old := p.jobs[r.Job.ID]; old != nil {
+		j.inherit(old)
+	}
+	p.jobs[r.Job.ID] = j
+	p.adopt(j)
+	p.place(now)
+}
+
+// inherit takes over the tasks of a withdrawn job of the same id that may still
+// be on workers, so that none runs twice.
+func (j *jobState) inherit(old *jobState) {
+	for i, t := range old.tasks {
+		if i >= len(j.tasks) || t.name != j.tasks[i].name {
+			return
+		}
+		j.tasks[i].run = t.run
+		if t.placed() {
+			t.of, t.step = j, j.tasks[i].step
+			j.tasks[i] = t
+		}
+	}
+}
+
+// adopt takes in runs that were found on workers at the takeover.
+func (p *Pool) adopt(j *jobState) {
+	for _, w := range p.workers {
+		if len(w.alien) == 0 {
+			continue
+		}
+		for _, t := range j.tasks {
+			run, found := w.alien[t.name]
+			if !found || t.placed() {
+				continue
+			}
+			delete(w.alien, t.name)
+			t.run, t.phase = run, running
+			j.began = true
+			t.ordered, t.acked = p.begun, p.begun
+			t.assign(w)
+		}
+	}
+}
+
+// Withdraw takes in that nobody waits for a job any more.
+func (p *Pool) Withdraw(now time.Time, id job.ID) {
+	if j := p.jobs[id]; j != nil && !j.ended {
+		p.end(now, j)
+	}
+}
+
+// end stops what is left of a job.
+func (p *Pool) end(now time.Time, j *jobState) {
+	j.ended = true
+	for _, t := range j.tasks {
+		switch {
+		case !t.placed():
+			t.phase = ended
+		case t.phase == running || t.phase == starting:
+			p.stop(now, t)
+		}
+	}
+	p.tidy(j)
+}
+
+// tidy forgets a job that is over once none of its tasks may run.
+func (p *Pool) tidy(j *jobState) {
+	if !j.ended || p.jobs[j.Job.ID] != j {
+		return
+	}
+	for _, t := range j.tasks {
+		if t.placed() {
+			return
+		}
+	}
+	delete(p.jobs, j.Job.ID)
+}
+
+// answer ends a job with what its caller is told.
+func (p *Pool) answer(now time.Time, j *jobState, a Answer) {
+	a.Job = j.Job.ID
+	p.answers = append(p.answers, a)
+	p.end(now, j)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/pool/reply.go
@@ -0,0 +1,167 @@
+package pool
+
+import (
+	"time"
+
+	"tamarackpin.example/internal/job"
+)
+
+// Receive takes in the reply to an order, or that none came in time.
+func (p *Pool) Receive(now time.Time, r Reply) {
+	w := p.workers[r.Worker]
+	if w == nil || w.Incarnation != r.Incarnation {
+		return // of a life that is over
+	}
+	if r.Refusal != "" {
+		p.Counts.Refused[r.Refusal]++
+	}
+	if r.Clocked {
+		w.timing.Observe(r.At, r.Clock)
+	}
+	if r.Done || r.Clocked {
+		w.silent = 0
+	}
+	switch {
+	case r.Refusal == RefusedFence:
+		p.fenced = true
+		return
+	case r.Refusal == RefusedIncarnation:
+		p.gone(w)
+	case !r.Done && (r.Refusal == "" || r.Refusal == RefusedUnsent):
+		w.silent++
+		p.shun(now, w, w.silent-1)
+	}
+	switch r.Kind {
+	case StartOrder:
+		p.started(now, w, r)
+	case StopOrder:
+		p.stopAnswered(now, w, r)
+	case HoldOrder:
+		p.held(now, w, r)
+	}
+	p.look(now, w)
+	p.place(now)
+}
+
+// gone takes in that the incarnation of w that was known is over.
+func (p *Pool) gone(w *workerState) {
+	w.stale = true
+	clear(w.alien)
+	for _, t := range placedTasks(w) {
+		p.lose(t)
+		p.tidy(t.of)
+	}
+}
+
+// started takes in the reply to a start.
+func (p *Pool) started(now time.Time, w *workerState, r Reply) {
+	t := w.tasks[r.Task]
+	if t == nil || t.run != r.Run {
+		return
+	}
+	switch {
+	case r.Done:
+		t.acked = now
+		if t.phase == starting {
+			t.phase = running
+		}
+		return
+	case r.Refusal == "":
+		if t.phase == starting {
+			p.Counts.Doubtful++
+			t.phase = doubtful
+			p.order(now, t)
+		}
+		return
+	}
+	// The worker did nothing, and will not: the order was answered.
+	p.lose(t)
+	p.tidy(t.of)
+	switch r.Refusal {
+	case RefusedOld:
+		t.run++ // a run of that number ended there under another dispatcher
+	case RefusedRoom:
+		w.avoid = later(w.avoid, now.Add(roomPause))
+		w.listed = false // look at what runs there
+	case RefusedUnhealthy, RefusedInvalid:
+		p.failedOn(now, w)
+	}
+}
+
+// roomPause keeps tasks from a worker that had no room, until it was looked at.
+const roomPause = 30 * time.Millisecond
+
+// stop orders a run to be stopped.
+func (p *Pool) stop(now time.Time, t *task) {
+	t.phase = stopping
+	p.order(now, t)
+}
+
+// order sends the stop of a task.
+func (p *Pool) order(now time.Time, t *task) {
+	t.stopped = now
+	p.send(now, t.on, Order{Kind: StopOrder, Task: t.name, Run: t.run})
+}
+
+// stopAnswered takes in the reply to a stop. After an acknowledged stop the
+// run cannot begin any more, and what runs ends within StopMax.
+func (p *Pool) stopAnswered(now time.Time, w *workerState, r Reply) {
+	if t := w.tasks[r.Task]; t != nil && t.run == r.Run && r.Done && t.stopAck.Before(r.Sent) {
+		t.stopAck = now
+	}
+}
+
+// Tick takes in that time passed.
+func (p *Pool) Tick(now time.Time) {
+	if p.fenced {
+		return
+	}
+	for _, w := range p.workers {
+		for _, t := range placedTasks(w) {
+			p.review(now, w, t)
+		}
+		if w.silent > 0 && now.After(w.extended) {
+			clear(w.alien)
+		}
+		p.look(now, w)
+	}
+	p.expire(now)
+	p.place(now)
+}
+
+// review looks at one task on w whose time may be over.
+func (p *Pool) review(now time.Time, w *workerState, t *task) {
+	if now.After(w.extended) && now.After(t.lapse) && w.silent > 0 {
+		p.Counts.Lapsed++
+		p.lose(t)
+		p.tidy(t.of)
+		return
+	}
+	if t.phase != stopping && t.phase != doubtful {
+		return
+	}
+	switch {
+	case !t.stopAck.IsZero() && now.Sub(t.stopAck) > p.config.StopMax+stopSlack:
+		p.lose(t)
+		p.tidy(t.of)
+	case t.stopAck.IsZero() && now.Sub(t.stopped) > stopAgain:
+		p.order(now, t)
+	}
+}
+
+// stopSlack covers that a worker looks at its stops now and then.
+const stopSlack = 30 * time.Millisecond
+
+// expire answers the jobs whose callers' time is over.
+func (p *Pool) expire(now time.Time) {
+	for _, j := range p.jobs {
+		if j.ended || now.Before(j.until) {
+			continue
+		}
+		outcome := job.NotRun
+		if j.began {
+			outcome = job.Abandoned
+		}
+		p.answer(now, j, Answer{Outcome: outcome, Reason: "the caller's time is over", RetryAfter: time.Second})
+	}
+}
--- /dev/null
+++ b/internal/routes/routes.go
@@ -0,0 +1,125 @@
+// Package routes holds the operators' table of a deployment with workers: which
+// rows of work there are, by the host and path that callers use, and which
+// service runs them. A [Table] is one version and never changes. Of two versions
+// the higher one counts; package replica keeps it on the control VMs' disks.
+package routes
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackpin.example/internal/worker"
+)
+
+// Version numbers the tables; operators choose it, in uneven steps.
+type Version int64
+
+// RowName names a row.
+type RowName string
+
+// Row is one kind of work of one party.
+type Row struct {
+	Name        RowName        `json:"name"`
+	Host        string         `json:"host"`
+	Prefix      string         `json:"prefix"` // of the path
+	Service     worker.Service `json:"service"`
+	Timeout     time.Duration  `json:"timeout"`
+	Latency     time.Duration  `json:"latency"`  // part of the objective that does not depend on the work
+	Stretch     float64        `json:"stretch"`  // part of the objective for each unit of work
+	Priority    int            `json:"priority"` // 0 is the most urgent
+	MaxAttempts int            `json:"max_attempts"`
+}
+
+// Service is one pool of workers.
+type Service struct {
+	Name           worker.Service `json:"name"`
+	MaxConnections int            `json:"max_connections"` // to each worker
+}
+
+// Limits bounds what callers send.
+type Limits struct {
+	HeaderBytes   int           `json:"header_bytes"`
+	BodyBytes     int64         `json:"body_bytes"`
+	HeaderTimeout time.Duration `json:"header_timeout"`
+	IdleTimeout   time.Duration `json:"idle_timeout"`
+}
+
+// Table is one version. It is immutable once it was checked.
+type Table struct {
+	Version  Version   `json:"version"`
+	Rows     []Row     `json:"rows"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+
+	// Source is the document that the operator sent, for reading it back.
+	Source []byte `json:"source,omitempty"`
+}
+
+// Check returns an error for a table that cannot be put in force.
+func (t *Table) Check() error {
+	services := make(map[worker.Service]bool, len(t.Services))
+	for _, s := range t.Services {
+		if s.Name == "" {
+			return errors.New("service without a name")
+		}
+		services[s.Name] = true
+	}
+	places := make(map[place]RowName, len(t.Rows))
+	for _, r := range t.Rows {
+		if err := r.check(services); err != nil {
+			return errors.Wrapf(err, "row %s", r.Name)
+		}
+		at := place{r.Host, r.Prefix}
+		if other, taken := places[at]; taken {
+			return errors.Newf("rows %s and %s share host %s and prefix %s", other, r.Name, r.Host, r.Prefix)
+		}
+		places[at] = r.Name
+	}
+	return nil
+}
+
+type place struct{ host, prefix string }
+
+func (r Row) check(services map[worker.Service]bool) error {
+	switch {
+	case r.Name == "" || r.Host == "":
+		return errors.New("no name or no host")
+	case !strings.HasPrefix(r.Prefix, "/"):
+		return errors.Newf("prefix %q does not begin with a slash", r.Prefix)
+	case !services[r.Service]:
+		return errors.Newf("service %q is not in the table", r.Service)
+	case r.Timeout <= 0:
+		return errors.Newf("timeout %s: want more than 0", r.Timeout)
+	case r.Stretch < 0 || r.Latency < 0 || r.MaxAttempts < 0 || r.Priority < 0:
+		return errors.New("a number is negative")
+	}
+	return nil
+}
+
+// Match returns the row with the longest prefix of path on host, and the rest
+// of the path.
+func (t *Table) Match(host, path string) (row *Row, rest string, ok bool) {
+	if t == nil {
+		return nil, "", false
+	}
+	for i := range t.Rows {
+		r := &t.Rows[i]
+		if r.Host == host && strings.HasPrefix(path, r.Prefix) && (row == nil || len(r.Prefix) > len(row.Prefix)) {
+			row = r
+		}
+	}
+	if row == nil {
+		return nil, "", false
+	}
+	return row, path[len(row.Prefix):], true
+}
+
+// Later returns the table that counts, of the one held and a next one.
+func Later(held, next *Table) *Table {
+	if held == nil || next != nil && next.Version > held.Version {
+		return next
+	}
+	return held
+}
--- a/tamarackpin/internal/controller/controller.go
+++ b/tamarackpin/internal/controller/controller.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,9 +23,6 @@
 
 // Sizes and times of the goroutines.
 const (
-	ringSize       = 1024
-	outgoingSize   = 64
-	tickEvery      = 25 * time.Millisecond
 	callTimeout    = time.Second
 	proposeTimeout = 5 * time.Second
 	retryEvery     = 50 * time.Millisecond
@@ -77,7 +73,7 @@
 		return nil, err
 	}
 	if self.Control {
-		m, err := newMember(k, rand.Float64)
+		m, err := newMember(k)
 		if err != nil {
 			return nil, err
 		}
@@ -102,7 +98,7 @@
 		<-ctx.Done()
 		return nil
 	}
-	err := k.member.run(ctx, &duties)
+	err := k.member.replica.Run(ctx)
 	cancel()
 	return err
 }
@@ -136,9 +132,9 @@
 		return s
 	}
 	s.Member = true
-	k.member.do(ctx, func(m *member, _ time.Time) {
-		s.Role, s.Term, s.Leader = m.core.Role(), m.core.Term(), m.core.Leader().VM
-		s.Voters = m.core.Config().Voters
+	k.member.replica.Do(ctx, func(core *quorum.Core, _ time.Time) {
+		s.Role, s.Term, s.Leader = core.Role(), core.Term(), core.Leader().VM
+		s.Voters = core.Config().Voters
 	})
 	return s
 }
--- a/tamarackpin/internal/controller/planning.go
+++ b/tamarackpin/internal/controller/planning.go
@@ -44,12 +44,12 @@
 }
 
 // plan proposes what the assignments need now.
-func (p *planning) plan(now time.Time, m *member) {
+func (p *planning) plan(now time.Time, m *member, core *quorum.Core) {
 	late := !p.last.IsZero() && now.Sub(p.last) > lateTick
 	if late {
 		p.from = now.Add(settleTime)
 	}
-	if m.core.Role() != quorum.Leader {
+	if core.Role() != quorum.Leader {
 		p.last = now
 		p.pending = nil
 		return
@@ -58,7 +58,7 @@
 		return
 	}
 	p.last = now
-	if p.busy(m) {
+	if p.busy(core) {
 		return
 	}
 	living := m.k.config.Living()
@@ -66,22 +66,22 @@
 		return
 	}
 	for _, a := range p.planner.Plan(now, &m.state, p.domains, living) {
-		p.propose(now, m, a)
+		p.propose(now, core, a)
 	}
 }
 
 // busy reports whether the last plan is not decided yet.
-func (p *planning) busy(m *member) bool {
-	p.pending = slices.DeleteFunc(p.pending, func(i quorum.Index) bool { return i <= m.core.Applied() })
+func (p *planning) busy(core *quorum.Core) bool {
+	p.pending = slices.DeleteFunc(p.pending, func(i quorum.Index) bool { return i <= core.Applied() })
 	return len(p.pending) > 0
 }
 
-func (p *planning) propose(now time.Time, m *member, a control.Assign) {
+func (p *planning) propose(now time.Time, core *quorum.Core, a control.Assign) {
 	data, err := json.Marshal(control.Command{Assign: &a})
 	if err != nil {
 		return
 	}
-	if index, _, err := m.core.Propose(now, data); err == nil {
+	if index, _, err := core.Propose(now, data); err == nil {
 		p.pending = append(p.pending, index)
 	}
 }
--- a/tamarackpin/internal/controller/propose.go
+++ b/tamarackpin/internal/controller/propose.go
@@ -14,6 +14,7 @@
 	"tamarackpin.example/internal/table"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/tamarackpin/internal/peer"
+	"tamarackpin.example/tamarackpin/internal/replica"
 )
 
 // proposal is a command on its way to the leader.
@@ -105,35 +106,20 @@
 	if err != nil {
 		return reply{}, code.New(code.Internal, "encoding a control command: %v", err)
 	}
-	done := make(chan outcome, 1)
-	var r reply
-	ran := m.do(ctx, func(m *member, now time.Time) {
-		index, term, err := m.core.Propose(now, data)
-		if errors.Is(err, quorum.ErrNotLeader) {
-			r.Leader = m.core.Leader().VM
-			return
-		}
-		r.Leads = true
-		m.waiting[index] = waiter{term, done}
-	})
-	if !ran {
-		// The command may still be in the ring.
-		return reply{}, code.New(code.TableOutcomeUnsure, "the control member is busy")
+	d, err := m.replica.Propose(ctx, data)
+	switch {
+	case errors.Is(err, replica.ErrReplaced):
+		return reply{}, code.New(code.TableUnavailable, "%v", err)
+	case err != nil:
+		return reply{}, code.New(code.TableOutcomeUnsure, "the change was not decided in time: %v", err)
+	case !d.Leads:
+		return reply{Leader: d.Leader}, nil
 	}
-	if !r.Leads {
-		return r, nil
+	result, ok := d.Result.(control.Result)
+	if !ok {
+		return reply{}, code.New(code.Internal, "the control state answered %T", d.Result)
 	}
-	select {
-	case o := <-done:
-		if o.err != nil {
-			return reply{}, o.err
-		}
-		r.Result = o.result
-		return r, nil
-	case <-m.stopped:
-	case <-ctx.Done():
-	}
-	return reply{}, code.New(code.TableOutcomeUnsure, "the change was not decided in time")
+	return reply{Result: result, Leads: true}, nil
 }
 
 // followTimeout bounds how long a proposer waits for its own View.
@@ -195,7 +181,7 @@
 }
 
 func (k *Controller) serveLocalHistory(ctx context.Context, most int) (entries []table.Entry) {
-	k.member.do(ctx, func(m *member, _ time.Time) { entries = m.state.Table().History(most) })
+	k.member.replica.Do(ctx, func(*quorum.Core, time.Time) { entries = k.member.state.Table().History(most) })
 	return entries
 }
 
@@ -206,7 +192,7 @@
 		return
 	}
 	peer.Handle(x, methodMessage, func(ctx context.Context, _ vm.ID, msg quorum.Message) (struct{}, error) {
-		_ = k.member.ring.Put(ctx, func(m *member, now time.Time) { m.core.Receive(now, msg) })
+		k.member.replica.Receive(ctx, msg)
 		return struct{}{}, nil
 	})
 	peer.Handle(x, methodPropose, func(ctx context.Context, _ vm.ID, p proposal) (reply, error) {
@@ -216,8 +202,12 @@
 		}
 		return r, nil
 	})
-	peer.Handle(x, methodIdentify, func(ctx context.Context, _ vm.ID, _ struct{}) (identity, error) {
-		return k.member.identify(ctx)
+	peer.Handle(x, methodIdentify, func(ctx context.Context, _ vm.ID, _ struct{}) (replica.Identity, error) {
+		id, err := k.member.replica.Identify(ctx)
+		if err != nil {
+			return id, code.New(code.Draining, "this entry VM stopped")
+		}
+		return id, nil
 	})
 	peer.Handle(x, methodHistory, func(ctx context.Context, _ vm.ID, r historyRequest) ([]table.Entry, error) {
 		return k.serveLocalHistory(ctx, r.Most), nil
--- a/tamarackpin/internal/controller/view.go
+++ b/tamarackpin/internal/controller/view.go
@@ -134,10 +134,10 @@
 	if k.member == nil {
 		return u, nil
 	}
-	k.member.do(ctx, func(m *member, _ time.Time) {
+	k.member.replica.Do(ctx, func(*quorum.Core, time.Time) {
 		// What is committed but not in force here yet may be served as well.
-		if m.state.Index() >= u.Index {
-			u = m.state.Update(r.Index, r.Version)
+		if state := &k.member.state; state.Index() >= u.Index {
+			u = state.Update(r.Index, r.Version)
 		}
 	})
 	return u, nil
--- a/tamarackpin/internal/controller/membership.go
+++ b/tamarackpin/internal/replica/membership.go
@@ -1,4 +1,4 @@
-package controller
+package replica
 
 import (
 	"context"
@@ -7,111 +7,96 @@
 
 	"go.uber.org/zap"
 
-	"tamarackpin.example/internal/code"
 	"tamarackpin.example/internal/quorum"
-	"tamarackpin.example/internal/report"
-	"tamarackpin.example/internal/settings"
 	"tamarackpin.example/internal/vm"
-	"tamarackpin.example/tamarackpin/internal/peer"
 )
 
 // Times of the loops that form the quorum and change its members.
 const (
-	bootstrapEvery = 200 * time.Millisecond
-	memberEvery    = time.Second
-	memberSoon     = 50 * time.Millisecond
+	foundEvery  = 200 * time.Millisecond
+	memberEvery = time.Second
+	memberSoon  = 50 * time.Millisecond
 	// changeAfter is how many rounds in a row a member must show another disk
 	// than the quorum knows before it is replaced.
 	changeAfter = 3
 )
 
-// identity is what a member says of its disk.
-type identity struct {
+// Identity is what a member says of its disk.
+type Identity struct {
 	Member quorum.Member `json:"member"`
 	Empty  bool          `json:"empty"` // it was never part of a quorum
 }
 
-func (m *member) identify(ctx context.Context) (identity, error) {
-	var id identity
-	if !m.do(ctx, func(m *member, _ time.Time) { id = identity{m.log.Member, m.empty} }) {
-		return id, code.New(code.Draining, "this entry VM stopped")
+// Identify returns this member's Identity.
+func (r *Replica) Identify(ctx context.Context) (Identity, error) {
+	var id Identity
+	if !r.do(ctx, func(r *Replica, _ time.Time) { id = Identity{r.log.Member, r.empty} }) {
+		return id, ErrStopped
 	}
 	return id, nil
 }
 
-// ask returns the identity of another member.
-func (m *member) ask(ctx context.Context, v vm.ID) (identity, bool) {
+// ask returns the identity of a member.
+func (r *Replica) ask(ctx context.Context, v vm.ID) (Identity, bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if v == m.k.self.VM {
-		id, err := m.identify(ctx)
+	if v == r.config.Self {
+		id, err := r.Identify(ctx)
 		return id, err == nil
 	}
-	id, err := peer.Call[identity](ctx, m.k.config.Mesh, v, report.UseControl, methodIdentify, struct{}{})
+	id, err := r.config.Ask(ctx, v)
 	return id, err == nil && id.Member.VM == v
 }
 
-// bootstrapLoop starts the quorum when every member's disk is empty. Only the
+// foundLoop starts the quorum when every founder's disk is empty. Only the
 // first of them does, and only once it has heard all: a disk that was lost
 // later finds the others not empty, and cannot start a second quorum.
-func (m *member) bootstrapLoop(ctx context.Context) {
-	members := controlVMs(m.k.config.Settings.VMs)
-	if m.k.self.VM != members[0] {
+func (r *Replica) foundLoop(ctx context.Context) {
+	founders := slices.Sorted(slices.Values(r.config.Founders))
+	if !r.config.MayFound || len(founders) == 0 || r.config.Self != founders[0] {
 		return
 	}
-	for m.unstarted(ctx) {
+	for r.unstarted(ctx) {
 		var voters []quorum.Member
-		for _, v := range members {
-			if id, ok := m.ask(ctx, v); ok && id.Empty {
+		for _, v := range founders {
+			if id, ok := r.ask(ctx, v); ok && id.Empty {
 				voters = append(voters, id.Member)
 			}
 		}
-		if len(voters) == len(members) {
-			m.do(ctx, func(m *member, now time.Time) { m.bootstrap(now, voters) })
+		if len(voters) == len(founders) {
+			r.do(ctx, func(r *Replica, now time.Time) { r.found(now, voters) })
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(bootstrapEvery):
+		case <-time.After(foundEvery):
 		}
 	}
 }
 
-func (m *member) unstarted(ctx context.Context) bool {
-	id, err := m.identify(ctx)
+func (r *Replica) unstarted(ctx context.Context) bool {
+	id, err := r.Identify(ctx)
 	return err == nil && id.Empty
 }
 
-func (m *member) bootstrap(now time.Time, voters []quorum.Member) {
-	if !m.empty {
+func (r *Replica) found(now time.Time, voters []quorum.Member) {
+	if !r.empty {
 		return
 	}
 	saved := quorum.Bootstrap(voters)
-	if err := m.log.SaveSnapshot(saved); err != nil {
-		m.k.config.Log.Error("starting the control quorum failed", zap.Error(err))
+	if err := r.log.SaveSnapshot(saved); err != nil {
+		r.config.Log.Error("starting the control quorum failed", zap.Error(err))
 		return
 	}
-	m.empty = false
-	m.saved = saved
-	m.core = quorum.New(now, m.log.Member, saved, m.core.Random())
+	r.empty = false
+	r.saved = saved
+	r.core = quorum.New(now, r.log.Member, saved, r.core.Random())
 }
 
-// controlVMs returns the members that the settings name, in order.
-func controlVMs(vms []settings.VM) []vm.ID {
-	var ids []vm.ID
-	for _, v := range vms {
-		if v.Control {
-			ids = append(ids, v.VM)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// memberLoop keeps the members as the settings say, one step at a time: a VM
+// memberLoop keeps the members as they are wanted, one step at a time: a VM
 // that came back with another disk is taken out, brought up to date as a
 // learner, and made a voter again.
-func (m *member) memberLoop(ctx context.Context) {
+func (r *Replica) memberLoop(ctx context.Context) {
 	strange := make(map[quorum.Member]int)
 	pause := memberEvery
 	for {
@@ -121,25 +106,28 @@
 		case <-time.After(pause):
 		}
 		pause = memberEvery
-		leads := false
-		m.do(ctx, func(m *member, _ time.Time) { leads = m.core.Role() == quorum.Leader })
+		var leads bool
+		var config quorum.Config
+		r.do(ctx, func(r *Replica, _ time.Time) {
+			leads, config = r.core.Role() == quorum.Leader, r.core.Config()
+		})
 		if !leads {
 			clear(strange)
 			continue
 		}
-		if m.memberRound(ctx, strange) {
+		if r.memberRound(ctx, config, strange) {
 			pause = memberSoon
 		}
 	}
 }
 
 // memberRound takes one step and reports whether another may follow at once.
-func (m *member) memberRound(ctx context.Context, strange map[quorum.Member]int) (changing bool) {
+func (r *Replica) memberRound(ctx context.Context, c quorum.Config, strange map[quorum.Member]int) (changing bool) {
 	wanted := make(map[vm.ID]quorum.Member)
 	seen := make(map[quorum.Member]bool)
-	for _, v := range controlVMs(m.k.config.Settings.VMs) {
+	for _, v := range r.config.Wanted(time.Now(), c) {
 		wanted[v] = quorum.Member{}
-		id, ok := m.ask(ctx, v)
+		id, ok := r.ask(ctx, v)
 		if !ok {
 			continue
 		}
@@ -154,13 +142,13 @@
 			delete(strange, s)
 		}
 	}
-	m.do(ctx, func(m *member, now time.Time) {
-		next, ok := nextConfig(m.core.Config(), wanted, m.core.CaughtUp())
+	r.do(ctx, func(r *Replica, now time.Time) {
+		next, ok := nextConfig(r.core.Config(), wanted, r.core.CaughtUp())
 		if changing = ok; !ok {
 			return
 		}
-		if err := m.core.ProposeConfig(now, next); err != nil {
-			m.k.config.Log.Debug("changing the control members must wait", zap.Error(err))
+		if err := r.core.ProposeConfig(now, next); err != nil {
+			r.config.Log.Debug("changing the control members must wait", zap.Error(err))
 		}
 	})
 	return changing
--- a/tamarackpin/internal/controller/membership_test.go
+++ b/tamarackpin/internal/replica/membership_test.go
@@ -1,4 +1,4 @@
-package controller
+package replica
 
 import (
 	"slices"
