Triage of waiting jobs, runs that stand still or crawl, waiting for faster workers

The pool now gives up the largest jobs ahead when one would miss its objective, refuses what is of no use any more with a Retry-After from the estimate, stops runs that their worker lists as standing or crawling, and lets long tasks wait for a fast worker while that meets the objective.

Ruled out: refusing alone, without an order, which refuses urgent jobs behind bulk.

--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -63,6 +63,11 @@
 	}
 	p.compare(now, w, r, listed)
 	w.listed = true
+	for _, row := range r.Running {
+		if t := w.tasks[row.Task]; t != nil && t.run == row.Run && t.phase == running {
+			p.progress(now, w, t, row.Percent)
+		}
+	}
 }
 
 // compare holds what a worker lists against what is known to be there.
@@ -111,7 +116,7 @@
 	switch {
 	case e.How == EndedDone:
 		p.Counts.Done++
-		w.failures = 0
+		w.failures, w.stuck = 0, 0
 		t.phase = ended
 		if wasRunning && !t.acked.IsZero() && began != p.begun {
 			p.learn.Observe(j.Row, t.step, w.Kind, w.Worker, now.Sub(began))
@@ -123,6 +128,7 @@
 	case e.How == EndedFailed:
 		p.Counts.Failed++
 		t.failed++
+		t.failedOn = w.Worker
 		p.failedOn(now, w)
 		t.phase = waiting
 		if !j.ended && j.MaxAttempts > 0 && t.failed >= j.MaxAttempts {
@@ -144,15 +150,9 @@
 // several in a row speak against the worker.
 func (p *Pool) failedOn(now time.Time, w *workerState) {
 	w.failures++
-	if w.failures >= failuresToShun {
-		p.shun(now, w, w.failures-failuresToShun)
-	}
+	p.shun(now, w, 2*(w.failures-1))
 }
 
-// failuresToShun is how many tasks in a row must fail on a worker before it is
-// avoided.
-const failuresToShun = 2
-
 // shun keeps new tasks from w for a time that doubles with each time in a row.
 func (p *Pool) shun(now time.Time, w *workerState, times int) {
 	w.avoid = later(w.avoid, now.Add(min(shunTime<<min(times, 6), maxShun)))
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -68,8 +68,9 @@
 
 // RunningTask is one row of a worker's list of what runs.
 type RunningTask struct {
-	Task job.Task
-	Run  job.Run
+	Task    job.Task
+	Run     job.Run
+	Percent int // done, as the worker sees it
 }
 
 // How says how a run ended.
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -29,7 +29,10 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *jobState) int {
-		return cmp.Or(cmp.Compare(a.rank(now), b.rank(now)), a.due.Compare(b.due), cmp.Compare(a.Job.ID, b.Job.ID))
+		if x, y := a.rank(now), b.rank(now); x != y {
+			return cmp.Compare(x, y)
+		}
+		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.Job.ID, b.Job.ID))
 	})
 	return list
 }
@@ -46,7 +49,7 @@
 
 // rank is 0 for a job that may be in time, else 1.
 func (j *jobState) rank(now time.Time) int {
-	if now.Add(j.work / 2).After(j.due) {
+	if j.late || now.Add(j.work/2).After(j.due) {
 		return 1
 	}
 	return 0
@@ -83,7 +86,8 @@
 }
 
 // pick returns the worker for t: the slowest on which it meets the objective, so
-// that the fast ones are free for those that need them; else the fastest.
+// that the fast ones are free for those that need them; else the fastest. It
+// returns none as long as waiting for a faster worker may still meet it.
 func (p *Pool) pick(now time.Time, t *task) *workerState {
 	work := p.learn.Work(t.of.Row, t.step)
 	var best *workerState
@@ -93,19 +97,62 @@
 		if !p.usable(now, w, t) {
 			continue
 		}
-		took := time.Duration(float64(work) * p.learn.Factor(w.Kind, w.Worker))
-		meets := !now.Add(took).After(t.of.due)
+		factor := p.learn.Factor(w.Kind, w.Worker)
+		took := time.Duration(float64(work) * factor)
+		meets := t.of.meets(now, work, factor)
 		if best == nil || p.better(w, took, meets, best, bestTime, bestMeets) {
 			best, bestTime, bestMeets = w, took, meets
 		}
 	}
+	if best != nil && !bestMeets && p.worthWaiting(now, t, work, bestTime) {
+		return nil
+	}
 	return best
 }
 
+// meets reports whether a run of so much work on a worker of this factor meets
+// the objective, whichever way the estimate is off: the objective grows with
+// the true work, so a slow worker is too slow for long tasks only.
+func (j *jobState) meets(now time.Time, work time.Duration, factor float64) bool {
+	waited := now.Sub(j.arrived)
+	for _, off := range [...]float64{1 / uncertainty, 1, uncertainty} {
+		actual := float64(work) * off
+		if float64(waited)+factor*actual > j.Stretch*actual+float64(j.Latency) {
+			return false
+		}
+	}
+	return true
+}
+
+// worthWaiting reports whether a faster worker than one that takes so long, which
+// has no room now, would still meet the objective after a while.
+func (p *Pool) worthWaiting(now time.Time, t *task, work, took time.Duration) bool {
+	if t.of.late {
+		return false
+	}
+	for _, w := range p.workers {
+		if w.Service != t.of.Service || w.stale || !w.listed || !w.Usable(now) || now.Before(w.avoid) || !w.Room.Fits(t.step.Need) {
+			continue
+		}
+		faster := time.Duration(float64(work) * p.learn.Factor(w.Kind, w.Worker))
+		if faster < took*3/4 && now.Add(faster+waitMargin).Before(t.of.due) {
+			return true
+		}
+	}
+	return false
+}
+
+// waitMargin is left for the wait itself when a task waits for a faster worker:
+// the middle of the times between two ends on the workers of a failure domain.
+const waitMargin = 30 * time.Millisecond
+
 func (p *Pool) better(w *workerState, took time.Duration, meets bool, best *workerState, bestTime time.Duration, bestMeets bool) bool {
 	if meets != bestMeets {
 		return meets
 	}
+	if sound, other := w.failures == 0 && w.stuck == 0, best.failures == 0 && best.stuck == 0; sound != other {
+		return sound
+	}
 	a, b := p.learn.KindFactor(w.Kind), p.learn.KindFactor(best.Kind)
 	if a != b {
 		if meets {
@@ -127,7 +174,7 @@
 	if w.Service != t.of.Service || !w.listed || w.stale || len(w.alien) > 0 || !w.Usable(now) || now.Before(w.avoid) || !w.timing.Known() {
 		return false
 	}
-	if !w.free.Fits(t.step.Need) {
+	if !w.free.Fits(t.step.Need) || t.failed > 0 && (w.Worker == t.failedOn || w.failures > 0) {
 		return false
 	}
 	if t.step.Label != "" && t.step.Label != string(w.Kind) && t.step.Label != string(w.Rack) {
@@ -153,6 +200,7 @@
 	t.run++
 	t.phase = starting
 	t.of.began = true
+	t.percent, t.moved = 0, now
 	t.ordered, t.acked, t.stopped, t.stopAck = now, time.Time{}, time.Time{}, time.Time{}
 	t.assign(w)
 	d := deadline(now, w)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -31,9 +31,9 @@
 // Times of a Pool.
 const (
 	// lease is asked for with each order: long enough for two holds to be lost.
-	lease = 800 * time.Millisecond
+	lease = 700 * time.Millisecond
 	// holdWait is how long a hold waits at the worker for an end.
-	holdWait = 300 * time.Millisecond
+	holdWait = 250 * time.Millisecond
 	// OrderTimeout is how long an order may take beside what it waits: some
 	// hundred round trips, and the pause of a VM that is slowed.
 	OrderTimeout = 200 * time.Millisecond
@@ -48,8 +48,8 @@
 	settleTime = 1500 * time.Millisecond
 	// shunTime is how long a worker gets nothing that refused or failed; it
 	// doubles with each time in a row.
-	shunTime = 100 * time.Millisecond
-	maxShun  = 3 * time.Second
+	shunTime = 50 * time.Millisecond
+	maxShun  = 3200 * time.Millisecond
 )
 
 // Pool is the dispatcher of one group. It is not safe for concurrent use. It
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -149,6 +149,7 @@
 		p.look(now, w)
 	}
 	p.expire(now)
+	p.triage(now)
 	p.place(now)
 }
 
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -29,6 +29,10 @@
 	run    job.Run
 	failed int // runs that ended as failed
 
+	failedOn worker.ID // where the last of them was
+	percent  int       // done, as last listed
+	moved    time.Time // when percent last grew, or the start
+
 	on      *workerState // unless waiting or ended
 	ordered time.Time    // the start
 	acked   time.Time    // the start's answer
@@ -68,7 +72,9 @@
 	tasks   []*task
 	left    int // tasks not done
 	began   bool
-	ended   bool // answered or withdrawn; tasks may still be stopping
+	late    bool    // it cannot meet its objective, given what is ahead of it
+	size    float64 // work of what waits; see triage
+	ended   bool    // answered or withdrawn; tasks may still be stopping
 }
 
 // tasksOf makes the tasks of a job.
@@ -117,16 +123,16 @@
 	tasks  map[job.Task]*task
 	alien  map[job.Task]job.Run // runs of jobs that nobody asked for yet
 
-	listed    bool      // it was looked at under this fence
-	seen      uint64    // ends up to here were taken in
-	holding   bool      // a hold is on its way
-	holdAt    time.Time // when the newest hold was sent
-	silent    int       // orders without an answer, in a row
-	avoid     time.Time // gets no new task before
-	failures  int       // runs that failed, in a row
-	extended  time.Time // leases may last until then
-	stale     bool      // another incarnation answered; wait for its announcement
-	firstHeld time.Time // when a look was first sent
+	listed   bool      // it was looked at under this fence
+	seen     uint64    // ends up to here were taken in
+	holding  bool      // a hold is on its way
+	holdAt   time.Time // when the newest hold was sent
+	silent   int       // orders without an answer, in a row
+	avoid    time.Time // gets no new task before
+	failures int       // runs that failed, in a row
+	stuck    int       // runs that stood still, since one was done
+	extended time.Time // leases may last until then
+	stale    bool      // another incarnation answered; wait for its announcement
 }
 
 func (w *workerState) busy() bool { return len(w.tasks) > 0 || len(w.alien) > 0 }
