Pool under random schedules; restarted workers and silent ones handled right

Starts without an answer now stay on the worker until a stop is acknowledged by the new life. It also showed that a silent worker's leases were extended with every probe, so its tasks never lapsed, and that several timeouts at once shunned a worker for seconds after it answered again: probes now grant no time, and one answer ends the silence.

Ruled out: a dispatcher that was replaced and goes on for seconds; it gives up when frozen or alone (lead), which the schedule assumes.

--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -25,26 +25,33 @@
 	return w.timing.Now(now) + worker.Clock(lease)
 }
 
-// look keeps one hold on its way to each worker that runs something, and looks
-// once at every worker under a new fence.
+// look keeps one hold on its way to each worker that runs something, looks once
+// at every worker under a new fence, and now and then at one that did not answer.
 func (p *Pool) look(now time.Time, w *workerState) {
 	if p.fenced || w.holding || w.stale || w.Address == "" {
 		return
 	}
-	if w.listed && !w.busy() {
+	probe := w.silent > 0 && w.Usable(now) && now.Sub(w.holdAt) >= probeEvery
+	if w.listed && !w.busy() && !probe {
 		return
 	}
 	o := Order{Kind: HoldOrder, Seen: w.seen}
-	if w.listed {
+	if w.listed && w.silent == 0 {
 		o.Wait = holdWait
 	}
-	if w.busy() && w.timing.Known() {
+	if w.busy() && w.timing.Known() && w.silent == 0 {
+		// A worker that does not answer is not granted more time: what runs there
+		// must lapse before it may start elsewhere.
 		o.Deadline = deadline(now, w)
 	}
 	w.holding, w.holdAt = true, now
 	p.send(now, w, o)
 }
 
+// probeEvery is how often a worker is looked at that did not answer: it gets no
+// task until it does.
+const probeEvery = 150 * time.Millisecond
+
 // held takes in the reply to a hold.
 func (p *Pool) held(now time.Time, w *workerState, r Reply) {
 	w.holding = false
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -131,7 +131,7 @@
 		return false
 	}
 	for _, w := range p.workers {
-		if w.Service != t.of.Service || w.stale || !w.listed || !w.Usable(now) || now.Before(w.avoid) || !w.Room.Fits(t.step.Need) {
+		if w.Service != t.of.Service || !w.sound(now) || !w.Room.Fits(t.step.Need) {
 			continue
 		}
 		faster := time.Duration(float64(work) * p.learn.Factor(w.Kind, w.Worker))
@@ -171,7 +171,7 @@
 
 // usable reports whether t may start on w now.
 func (p *Pool) usable(now time.Time, w *workerState, t *task) bool {
-	if w.Service != t.of.Service || !w.listed || w.stale || len(w.alien) > 0 || !w.Usable(now) || now.Before(w.avoid) || !w.timing.Known() {
+	if w.Service != t.of.Service || !w.sound(now) || len(w.alien) > 0 || !w.timing.Known() {
 		return false
 	}
 	if !w.free.Fits(t.step.Need) || t.failed > 0 && (w.Worker == t.failedOn || w.failures > 0) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -103,31 +103,50 @@
 		return
 	}
 	if w.Incarnation != 0 && h.Incarnation > w.Incarnation {
-		p.reborn(w, h)
+		p.reborn(now, w, h)
 	}
 	w.free = w.free.Plus(h.Room.Minus(w.Room))
-	fresh := h.Sequence > w.Sequence || w.Heard.At.IsZero()
 	w.Heard = h
-	if fresh {
-		w.timing.Observe(h.At, h.Clock)
-	}
+	w.timing.Observe(h.At, h.Clock)
 	p.look(now, w)
 	p.place(now)
 }
 
-// reborn takes in that a worker started again: it runs nothing any more.
-func (p *Pool) reborn(w *workerState, h worker.Heard) {
+// reborn takes in that a worker started again under its name. It runs nothing of
+// before, but carries out orders that were on their way to its last life, and
+// remembers no stop: a start without an answer is stopped there again.
+func (p *Pool) reborn(now time.Time, w *workerState, h worker.Heard) {
+	var open []*task
 	for _, t := range placedTasks(w) {
-		p.lose(t)
+		if t.acked.IsZero() {
+			open = append(open, t)
+			continue
+		}
+		if t.acked.Before(now) {
+			p.lose(t)
+			p.tidy(t.of)
+		}
 	}
-	*w = workerState{Heard: w.Heard, tasks: w.tasks, alien: make(map[job.Task]job.Run), free: w.Room}
-	w.Incarnation = h.Incarnation
-	w.Sequence = 0
+	ghosts := slices.DeleteFunc(w.ghosts, func(g ghost) bool { return now.Sub(g.at) > latest })
+	*w = workerState{Heard: h, tasks: w.tasks, alien: make(map[job.Task]job.Run), free: w.free.Plus(h.Room.Minus(w.Room)), ghosts: ghosts}
 	// A new incarnation has seen no order of anybody.
 	w.listed = true
 	p.learn.Forget(h.Worker)
+	for _, t := range open {
+		t.phase, t.stopAck, t.lapse = doubtful, time.Time{}, now.Add(latest)
+		p.order(now, t)
+	}
+	for _, g := range ghosts {
+		if w.tasks[g.task] == nil {
+			p.send(now, w, Order{Kind: StopOrder, Task: g.task, Run: g.run})
+		}
+	}
 }
 
+// latest is how long after it was sent an order may be carried out, and what it
+// started may run: 12 s, as the platform states it, and a lease.
+const latest = 13 * time.Second
+
 // Forget drops workers that are gone and run nothing.
 func (p *Pool) Forget(keep func(worker.ID) bool) {
 	for id, w := range p.workers {
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -4,17 +4,19 @@
 	"time"
 
 	"tamarackpin.example/internal/job"
-	"tamarackpin.example/internal/worker"
 )
 
 // Receive takes in the reply to an order, or that none came in time.
 func (p *Pool) Receive(now time.Time, r Reply) {
 	w := p.workers[r.Worker]
-	if w == nil || w.Incarnation != r.Incarnation {
-		return // of a life that is over
+	if w == nil {
+		return
 	}
 	if r.Answerer > w.Incarnation {
-		p.succeeded(w, r)
+		p.succeeded(now, w, r)
+	}
+	if w.Incarnation != r.Incarnation && w.Incarnation != r.Answerer {
+		return // of a life that is over
 	}
 	if r.Refusal != "" {
 		p.Counts.Refused[r.Refusal]++
@@ -33,7 +35,6 @@
 		p.gone(w)
 	case !r.Done && (r.Refusal == "" || r.Refusal == RefusedUnsent):
 		w.silent++
-		p.shun(now, w, w.silent-1)
 	}
 	switch r.Kind {
 	case StartOrder:
@@ -47,23 +48,19 @@
 	p.place(now)
 }
 
-// succeeded takes in that a later incarnation answered under the same name. What
-// ran before is gone; what the order started runs.
-func (p *Pool) succeeded(w *workerState, r Reply) {
-	var kept *task
+// succeeded takes in that a later incarnation answered under the same name.
+func (p *Pool) succeeded(now time.Time, w *workerState, r Reply) {
 	if r.Kind == StartOrder && r.Done {
-		kept = w.tasks[r.Task]
-	}
-	for _, t := range placedTasks(w) {
-		if t != kept {
-			p.lose(t)
-			p.tidy(t.of)
+		if t := w.tasks[r.Task]; t != nil && t.run == r.Run {
+			t.acked = now // by the new one
 		}
 	}
-	clear(w.alien)
-	w.Incarnation, w.Sequence = r.Answerer, 0
-	w.seen, w.timing = 0, worker.Timing{}
-	p.learn.Forget(w.Worker)
+	h := w.Heard
+	h.Incarnation, h.Sequence = r.Answerer, 0
+	p.reborn(now, w, h)
+	if t := w.tasks[r.Task]; r.Kind == StartOrder && r.Done && t != nil && t.run == r.Run {
+		t.phase = running
+	}
 }
 
 // gone takes in that the incarnation of w that was known is over.
@@ -91,9 +88,7 @@
 		return
 	case r.Refusal == "":
 		if t.phase == starting {
-			p.Counts.Doubtful++
-			t.phase = doubtful
-			p.order(now, t)
+			p.doubt(now, w, t)
 		}
 		return
 	}
@@ -111,6 +106,14 @@
 	}
 }
 
+// doubt takes in that a start had no answer: it may be carried out, also later.
+func (p *Pool) doubt(now time.Time, w *workerState, t *task) {
+	p.Counts.Doubtful++
+	t.phase = doubtful
+	w.ghosts = append(w.ghosts, ghost{t.name, t.run, now})
+	p.order(now, t)
+}
+
 // roomPause keeps tasks from a worker that had no room, until it was looked at.
 const roomPause = 30 * time.Millisecond
 
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -115,6 +115,13 @@
 	return most
 }
 
+// ghost is a start that had no answer.
+type ghost struct {
+	task job.Task
+	run  job.Run
+	at   time.Time
+}
+
 // workerState is a worker as the dispatcher knows it.
 type workerState struct {
 	worker.Heard
@@ -123,6 +130,7 @@
 	tasks  map[job.Task]*task
 	alien  map[job.Task]job.Run // runs of jobs that nobody asked for yet
 
+	ghosts   []ghost   // starts of late that had no answer
 	listed   bool      // it was looked at under this fence
 	seen     uint64    // ends up to here were taken in
 	holding  bool      // a hold is on its way
@@ -135,4 +143,11 @@
 	stale    bool      // another incarnation answered; wait for its announcement
 }
 
+// sound reports whether tasks may be given to w: it was looked at, answers, is
+// not leaving and was not avoided for its failures.
+func (w *workerState) sound(now time.Time) bool {
+	return w.listed && !w.stale && w.silent == 0 && w.Usable(now) && !now.Before(w.avoid)
+}
+
+// busy reports whether something may run on w.
 func (w *workerState) busy() bool { return len(w.tasks) > 0 || len(w.alien) > 0 }
--- a/internal/pool/triage.go
+++ b/internal/pool/triage.go
@@ -34,7 +34,7 @@
 func (p *Pool) load(now time.Time) Load {
 	var l Load
 	for _, w := range p.workers {
-		if !w.listed || w.stale || !w.Usable(now) || now.Before(w.avoid) {
+		if !w.sound(now) {
 			continue
 		}
 		factor := p.learn.Factor(w.Kind, w.Worker)
