Triage by a forecast of places

The forecast lets each running task free its place when it should end, and gives the waiting tasks the places in turn.

Ruled out: giving up the largest job ahead of one that is late; with objectives that grow with the work the late one is the large one.

--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -29,10 +29,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *jobState) int {
-		if x, y := a.rank(now), b.rank(now); x != y {
-			return cmp.Compare(x, y)
-		}
-		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.Job.ID, b.Job.ID))
+		return cmp.Or(cmp.Compare(a.order(now), b.order(now)), a.due.Compare(b.due), cmp.Compare(a.Job.ID, b.Job.ID))
 	})
 	return list
 }
@@ -47,9 +44,17 @@
 	return false
 }
 
+// order is 0 for a job that is expected to be in time, else 1.
+func (j *jobState) order(now time.Time) int {
+	if j.late {
+		return 1
+	}
+	return j.rank(now)
+}
+
 // rank is 0 for a job that may be in time, else 1.
 func (j *jobState) rank(now time.Time) int {
-	if j.late || now.Add(j.work/2).After(j.due) {
+	if now.Add(j.work / 2).After(j.due) {
 		return 1
 	}
 	return 0
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -72,9 +72,8 @@
 	tasks   []*task
 	left    int // tasks not done
 	began   bool
-	late    bool    // it cannot meet its objective, given what is ahead of it
-	size    float64 // work of what waits; see triage
-	ended   bool    // answered or withdrawn; tasks may still be stopping
+	late    bool // it cannot meet its objective, given what is ahead of it
+	ended   bool // answered or withdrawn; tasks may still be stopping
 }
 
 // tasksOf makes the tasks of a job.
--- a/internal/pool/triage.go
+++ b/internal/pool/triage.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 
@@ -13,9 +14,6 @@
 // lost: without them every job waits until it is late, and callers hold on to
 // their deadlines for nothing.
 const (
-	// usedPart is the part of the workers' cores that tasks fill: two of 6.8 cores
-	// on 16.
-	usedPart = 0.85
 	// uncertainty is how far off the times of single jobs are, as the users say.
 	uncertainty = 1.4
 	// lateStretch is how many times its objective a job may take before it is of
@@ -23,90 +21,120 @@
 	lateStretch = 3
 )
 
-// Load is what the workers have to do and can do, in thousandths of a core times
-// seconds.
-type Load struct {
-	Running float64 // left of what runs
-	Rate    float64 // done a second
+// place is room for one task on a worker, and when it is free.
+type place struct {
+	free   time.Time
+	factor float64
 }
 
-// load measures the Load now.
-func (p *Pool) load(now time.Time) Load {
-	var l Load
+// forecast is what the workers are expected to do: a heap of places, the first
+// free one on top.
+type forecast []place
+
+func (f forecast) Len() int           { return len(f) }
+func (f forecast) Less(i, j int) bool { return f[i].free.Before(f[j].free) }
+func (f forecast) Swap(i, j int)      { f[i], f[j] = f[j], f[i] }
+
+// Push is part of [heap.Interface].
+func (f *forecast) Push(x any) { *f = append(*f, x.(place)) }
+
+// Pop is part of [heap.Interface].
+func (f *forecast) Pop() any {
+	last := (*f)[len(*f)-1]
+	*f = (*f)[:len(*f)-1]
+	return last
+}
+
+// forecast returns the places of the sound workers for tasks that need so much.
+func (p *Pool) forecast(now time.Time, need int) forecast {
+	var f forecast
 	for _, w := range p.workers {
 		if !w.sound(now) {
 			continue
 		}
 		factor := p.learn.Factor(w.Kind, w.Worker)
-		l.Rate += usedPart * float64(w.Room.MilliCores) / factor
+		places := w.Room.MilliCores / need
 		for _, t := range w.tasks {
-			left := p.learn.Work(t.of.Row, t.step).Seconds() - now.Sub(t.ordered).Seconds()/factor
-			l.Running += max(0, left) * float64(t.step.Need.MilliCores)
+			if places--; places < 0 {
+				break
+			}
+			took := time.Duration(float64(p.learn.Work(t.of.Row, t.step)) * factor)
+			f = append(f, place{later(now, t.ordered.Add(took)), factor})
+		}
+		for range max(0, places) {
+			f = append(f, place{now, factor})
 		}
 	}
-	return l
+	heap.Init(&f)
+	return f
 }
 
-// size returns the work of what waits of j.
-func (p *Pool) size(j *jobState) float64 {
-	total := 0.0
+// run adds the tasks of j that wait, and returns when the last will end.
+func (f forecast) run(p *Pool, j *jobState) time.Time {
+	var end time.Time
 	for _, t := range j.tasks {
-		if t.phase == waiting {
-			total += p.learn.Work(j.Row, t.step).Seconds() * float64(t.step.Need.MilliCores)
+		if t.phase != waiting {
+			continue
 		}
+		first := &f[0]
+		first.free = first.free.Add(time.Duration(float64(p.learn.Work(j.Row, t.step)) * first.factor))
+		end = later(end, first.free)
+		heap.Fix(&f, 0)
 	}
-	return total
+	return end
 }
 
 // triage decides which jobs that wait can still meet their objective, given all
-// that is ahead of them, and refuses those that cannot be of use any more. Going
-// by the objectives, it gives up the largest of the less urgent jobs ahead
-// whenever one would be late, so that as many as possible are in time.
+// that is ahead of them, and refuses those that cannot be of use any more.
 func (p *Pool) triage(now time.Time) {
-	l := p.load(now)
-	if l.Rate <= 0 {
+	queue := p.waitingJobs()
+	if len(queue) == 0 {
+		return
+	}
+	f := p.forecast(now, meanNeed(queue))
+	if len(f) == 0 {
 		p.refuseHopeless(now)
 		return
 	}
-	var kept []*jobState
-	ahead := l.Running
-	queue := p.waitingJobs()
+	var late []*jobState
 	for _, j := range queue {
-		j.late = now.Add(j.work / 2).After(j.due)
-		if j.late {
+		if j.late = j.rank(now) > 0; j.late {
+			late = append(late, j)
 			continue
 		}
-		kept = append(kept, j)
-		ahead += j.size
-		for len(kept) > 0 && now.Add(p.span(ahead, l)+j.work/2).After(j.due.Add(triageSlack)) {
-			worst := slices.MaxFunc(kept, compareBurden)
-			worst.late = true
-			ahead -= worst.size
-			kept = slices.DeleteFunc(kept, func(k *jobState) bool { return k == worst })
-			if worst == j {
-				break
-			}
+		before := slices.Clone(f)
+		if end := f.run(p, j); end.After(j.due.Add(triageSlack)) {
+			j.late = true
+			late = append(late, j)
+			f = before
 		}
 	}
-	for _, j := range queue {
-		if !j.late {
-			continue
-		}
-		ahead += j.size
+	for _, j := range late {
 		if j.began {
+			f.run(p, j)
 			continue
 		}
-		end := now.Add(p.span(ahead, l) + j.work/2)
-		if limit := j.useless(); end.After(limit) {
+		before := slices.Clone(f)
+		end, limit := f.run(p, j), j.useless()
+		if end.After(limit.Add(triageSlack)) {
+			f = before
 			p.answer(now, j, Answer{
 				Outcome: job.NotRun, Reason: "the work ahead takes longer than the job is of use",
 				RetryAfter: max(minRetryAfter, end.Sub(limit)),
 			})
-			ahead -= j.size
 		}
 	}
 }
 
+// meanNeed returns the thousandths of a core that a task of these jobs needs.
+func meanNeed(jobs []*jobState) int {
+	sum := 0
+	for _, j := range jobs {
+		sum += j.Job.Steps[0].Need.MilliCores
+	}
+	return max(1, sum/len(jobs))
+}
+
 // triageSlack forgives errors of the estimate, so that jobs near their objective
 // are not given up too soon.
 const triageSlack = 50 * time.Millisecond
@@ -115,15 +143,11 @@
 // the header.
 const minRetryAfter = time.Second
 
-// span returns how long the workers need for an amount of work.
-func (p *Pool) span(work float64, l Load) time.Duration { return seconds(work / l.Rate) }
-
 // waitingJobs returns the jobs with tasks that wait, by their objectives.
 func (p *Pool) waitingJobs() []*jobState {
 	var list []*jobState
 	for _, j := range p.jobs {
 		if !j.ended && j.waits() {
-			j.size = p.size(j)
 			list = append(list, j)
 		}
 	}
@@ -133,18 +157,6 @@
 	return list
 }
 
-// compareBurden orders jobs by what giving them up gains for others: first those
-// that have not begun, then the larger.
-func compareBurden(a, b *jobState) int {
-	if a.began != b.began {
-		if a.began {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(a.size, b.size), cmp.Compare(a.Job.ID, b.Job.ID))
-}
-
 // useless returns the time after which the caller does not wait or has no use
 // for the job.
 func (j *jobState) useless() time.Time {
