Jobs spill to a group with room; a leader that hears nobody gives up

A group now reports its free places; a job that would be late at home goes whole to the group with the most, which takes it only if it is in time there.

Ruled out: spilling after home refused; by then the objective is past.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -48,6 +48,7 @@
 	LeadTaken         ID = 801
 	LeadLost          ID = 802
 	JobAnswered       ID = 803
+	JobSpilled        ID = 804
 )
 
 // Entry describes one event.
@@ -92,6 +93,7 @@
 	{LeadTaken, zapcore.InfoLevel, "lead taken", "This entry VM orders the workers of its failure domain from now on, under this fence."},
 	{LeadLost, zapcore.WarnLevel, "lead lost", "This entry VM does not order the workers any more; another does, or it drains or was frozen."},
 	{JobAnswered, zapcore.InfoLevel, "job answered", "A caller's job has its answer, with the reason if it is not complete."},
+	{JobSpilled, zapcore.InfoLevel, "job handed to another group", "Its own group would have been late with it; the outcome is what the other made of it."},
 }
 
 var byID = func() map[ID]Entry {
--- /dev/null
+++ b/internal/lead/lead_test.go
@@ -0,0 +1,212 @@
+package lead
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"tamarackpin.example/internal/vm"
+)
+
+const look = 20 * time.Millisecond
+
+// sim is the entry VMs of one failure domain, which exchange signs of life every
+// 150 ms over links that may be cut.
+type sim struct {
+	now    time.Time
+	vms    []*Leadership
+	runs   []vm.Incarnation
+	frozen map[int]bool
+	cut    map[int]bool // from all other VMs, control VMs included
+	claims []Claim
+}
+
+func newSim(n int) *sim {
+	s := &sim{now: time.Unix(1_700_000_000, 0), frozen: make(map[int]bool), cut: make(map[int]bool)}
+	for i := range n {
+		s.vms = append(s.vms, New(s.now, id(i), 1))
+		s.runs = append(s.runs, 1)
+	}
+	return s
+}
+
+func id(i int) vm.ID { return vm.ID(fmt.Sprint("vm", i)) }
+
+func (s *sim) restart(i int) {
+	s.runs[i]++
+	s.vms[i] = New(s.now, id(i), s.runs[i])
+}
+
+// pass lets time pass.
+func (s *sim) pass(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(look)
+		for i, l := range s.vms {
+			if s.frozen[i] {
+				continue
+			}
+			if s.now.UnixMilli()%160 == 0 {
+				s.exchange(i, l)
+			}
+			if c, ok := l.Tick(s.now, !s.cut[i]); ok {
+				s.claims = append(s.claims, c)
+			}
+		}
+	}
+}
+
+func (s *sim) exchange(i int, l *Leadership) {
+	for j, o := range s.vms {
+		if i == j || s.frozen[j] || s.cut[i] || s.cut[j] {
+			continue
+		}
+		o.Hear(s.now, id(i), s.runs[i], l.draining)
+		o.Learn(id(i), l.Claim())
+	}
+}
+
+// leaders returns the VMs that think they lead.
+func (s *sim) leaders() (list []int) {
+	for i, l := range s.vms {
+		if l.Leads() && !s.frozen[i] {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+func (s *sim) oneLeader(t *testing.T, want int, when string) {
+	t.Helper()
+	if got := s.leaders(); len(got) != 1 || want >= 0 && got[0] != want {
+		t.Errorf("%s: leaders %v, want one (%d)", when, got, want)
+	}
+}
+
+func TestTakeoverOfAKilledLeader(t *testing.T) {
+	s := newSim(3)
+	s.pass(1200 * time.Millisecond)
+	s.oneLeader(t, 0, "after the start")
+	s.frozen[0] = true
+	before := s.now
+	for len(s.leaders()) == 0 && s.now.Sub(before) < 3*time.Second {
+		s.pass(look)
+	}
+	if took := s.now.Sub(before); took > DeadAfter+200*time.Millisecond {
+		t.Errorf("the takeover took %s", took)
+	}
+	s.oneLeader(t, 1, "after the kill")
+	if s.claims[1].Fence <= s.claims[0].Fence {
+		t.Errorf("fences %d, %d do not rise", s.claims[0].Fence, s.claims[1].Fence)
+	}
+}
+
+// TestFrozenLeaderGivesUp: it wakes to others that replaced it (issue 10).
+func TestFrozenLeaderGivesUp(t *testing.T) {
+	s := newSim(3)
+	s.pass(1200 * time.Millisecond)
+	s.frozen[0] = true
+	s.pass(3 * time.Second)
+	s.frozen[0] = false
+	s.pass(look)
+	s.oneLeader(t, 1, "as it wakes")
+	s.pass(3 * time.Second)
+	s.oneLeader(t, 1, "later")
+}
+
+// TestCutOffLeaderGivesUpInTime: before the next one starts what it may run
+// (issue 10).
+func TestCutOffLeaderGivesUpInTime(t *testing.T) {
+	s := newSim(3)
+	s.pass(1200 * time.Millisecond)
+	s.cut[0] = true
+	s.pass(isolatedAfter + 200*time.Millisecond)
+	s.oneLeader(t, 1, "after the cut")
+	s.pass(4 * time.Second)
+	if s.vms[0].Leads() {
+		t.Error("the VM that is cut off claims")
+	}
+	s.cut[0] = false
+	s.pass(time.Second)
+	s.oneLeader(t, 1, "after healing")
+}
+
+func TestLastOfAFailureDomainLeads(t *testing.T) {
+	s := newSim(2)
+	s.pass(1200 * time.Millisecond)
+	s.frozen[0] = true
+	s.pass(time.Second)
+	s.oneLeader(t, 1, "one is left")
+	s.cut[1] = true // all control VMs are lost as well
+	s.pass(isolatedAfter + aloneTime + time.Second)
+	s.oneLeader(t, 1, "alone for long")
+}
+
+func TestDrainingLeaderHandsOver(t *testing.T) {
+	s := newSim(3)
+	s.pass(1200 * time.Millisecond)
+	s.vms[0].Drain()
+	s.pass(400 * time.Millisecond)
+	s.oneLeader(t, 1, "after the drain began")
+}
+
+func TestRestartedLeaderIsReplaced(t *testing.T) {
+	s := newSim(3)
+	s.pass(1200 * time.Millisecond)
+	s.restart(0)
+	s.pass(1500 * time.Millisecond)
+	s.oneLeader(t, -1, "after the restart")
+}
+
+// TestRefusedFenceYields: a worker that has seen a higher fence ends the lead;
+// after a while, if no other claim is heard, a higher one is made.
+func TestRefusedFenceYields(t *testing.T) {
+	s := newSim(1)
+	s.pass(1200 * time.Millisecond)
+	first := s.vms[0].Claim()
+	s.vms[0].Refused(s.now, first.Fence)
+	if s.vms[0].Leads() {
+		t.Fatal("it still leads")
+	}
+	s.pass(yieldTime + 100*time.Millisecond)
+	if c := s.vms[0].Claim(); !s.vms[0].Leads() || c.Fence <= first.Fence {
+		t.Errorf("claim %+v follows %+v", c, first)
+	}
+}
+
+// TestOneLeaderUnderRandomFaults: whatever happens, two seconds of calm leave
+// one leader, fences never repeat, and those of one VM rise (issue 10).
+func TestOneLeaderUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		s := newSim(2 + r.IntN(3))
+		for range 12 {
+			i := r.IntN(len(s.vms))
+			switch r.IntN(4) {
+			case 0:
+				s.frozen[i] = true
+			case 1:
+				s.cut[i] = true
+			case 2:
+				s.restart(i)
+			case 3:
+				clear(s.frozen)
+				clear(s.cut)
+			}
+			s.pass(time.Duration(r.IntN(1500)) * time.Millisecond)
+		}
+		clear(s.frozen)
+		clear(s.cut)
+		s.pass(2500 * time.Millisecond)
+		if got := s.leaders(); len(got) != 1 {
+			t.Fatalf("seed %d: leaders %v after calm", seed, got)
+		}
+		seen := make(map[Fence]bool)
+		for _, c := range s.claims {
+			if seen[c.Fence] {
+				t.Fatalf("seed %d: fence %d twice", seed, c.Fence)
+			}
+			seen[c.Fence] = true
+		}
+	}
+}
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -21,6 +21,11 @@
 	// yieldTime is how long a process that a worker refused waits to hear of
 	// the claim that it lost to.
 	yieldTime = time.Second
+	// isolatedAfter is how long a process that leads may hear nobody before it
+	// gives up, if others may have taken its place: with a lease that is less
+	// than they wait before they start what it may run (DeadAfter and the
+	// settling of package pool).
+	isolatedAfter = time.Second
 	// aloneTime is how long a process that hears nobody waits before it claims
 	// all the same: longer than a VM is cut off from all others, as the platform
 	// names it.
@@ -45,13 +50,14 @@
 	claim    Claim
 	highest  Fence // ever seen
 	refused  time.Time
+	contact  time.Time // when another VM was last heard or reached
 	draining bool
 	peers    map[vm.ID]Peer
 }
 
 // New returns the Leadership of a process that starts now.
 func New(now time.Time, self vm.ID, i vm.Incarnation) *Leadership {
-	return &Leadership{self: self, run: i, begun: now, looked: now, peers: make(map[vm.ID]Peer)}
+	return &Leadership{self: self, run: i, begun: now, looked: now, contact: now, peers: make(map[vm.ID]Peer)}
 }
 
 // Hear takes in a sign of life of a peer.
@@ -60,12 +66,14 @@
 		return
 	}
 	l.peers[id] = Peer{VM: id, Incarnation: i, Draining: draining, Heard: now}
+	l.touch(now)
 }
 
-// Learn takes in a claim that a peer knows.
-func (l *Leadership) Learn(c Claim) {
+// Learn takes in the claim that a peer knows. One that holds a claim and says
+// that nobody does has given it up.
+func (l *Leadership) Learn(from vm.ID, c Claim) {
 	l.highest = max(l.highest, c.Fence)
-	if c.Fence > l.claim.Fence {
+	if c.Fence > l.claim.Fence || c.Fence == l.claim.Fence && from == l.claim.VM && c.VM == "" {
 		l.claim = c
 		l.refused = time.Time{}
 	}
@@ -79,17 +87,6 @@
 	}
 }
 
-// Alone reports whether nobody was heard for so long that it may be the last.
-func (l *Leadership) Alone(now time.Time) bool {
-	last := l.begun
-	for _, p := range l.peers {
-		if p.Heard.After(last) {
-			last = p.Heard
-		}
-	}
-	return now.Sub(last) > aloneTime
-}
-
 // Drain makes the process claim nothing from now on and give up what it holds.
 func (l *Leadership) Drain() { l.draining = true }
 
@@ -116,23 +113,30 @@
 }
 
 // Tick decides whether this process claims now, and returns the claim if it
-// does. A process that was frozen gives up what it held and listens first.
-func (l *Leadership) Tick(now time.Time) (claim Claim, claimed bool) {
+// does. reaches says whether a control VM was reached a moment ago.
+//
+// A process that was frozen gives up what it held and listens first. One that
+// reaches nobody is probably cut off itself: it gives up before others start what
+// it may run, and does not take the workers from a leader that lives.
+func (l *Leadership) Tick(now time.Time, reaches bool) (claim Claim, claimed bool) {
 	paused := now.Sub(l.looked) > frozenAfter
 	l.looked = now
+	if reaches {
+		l.touch(now)
+	}
 	if paused {
 		l.begun = now
-		if l.Leads() {
-			l.claim = Claim{Fence: l.claim.Fence}
-		}
+	}
+	if l.Leads() && (paused || l.draining || l.isolated(now)) {
+		l.claim = Claim{Fence: l.claim.Fence}
 	}
 	if l.draining {
-		if l.Leads() {
-			l.claim = Claim{Fence: l.claim.Fence}
-		}
 		return Claim{}, false
 	}
-	if _, led := l.Leader(now); led || now.Sub(l.begun) < settleTime || now.Sub(l.refused) < yieldTime || !l.first(now) {
+	_, led := l.Leader(now)
+	settled := now.Sub(l.begun) >= settleTime && now.Sub(l.refused) >= yieldTime
+	sees := reaches || len(l.Living(now)) > 0 || now.Sub(l.contact) > aloneTime
+	if led || !settled || !sees || !l.first(now) {
 		return Claim{}, false
 	}
 	l.claim = Claim{Fence: next(now, l.self, l.highest), VM: l.self, Incarnation: l.run}
@@ -140,6 +144,28 @@
 	return l.claim, true
 }
 
+// touch takes in that another VM was heard or reached. After a while without,
+// it listens first.
+func (l *Leadership) touch(now time.Time) {
+	if now.Sub(l.contact) > isolatedAfter && !l.Leads() {
+		l.begun = now
+	}
+	l.contact = now
+}
+
+// isolated reports whether others may have taken this process's place.
+func (l *Leadership) isolated(now time.Time) bool {
+	if since := now.Sub(l.contact); since <= isolatedAfter || since > aloneTime {
+		return false
+	}
+	for _, p := range l.peers {
+		if !p.Draining {
+			return true
+		}
+	}
+	return false
+}
+
 // first reports whether this process comes first among those that live.
 func (l *Leadership) first(now time.Time) bool {
 	for _, p := range l.Living(now) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -186,10 +186,12 @@
 func (p *Pool) Submit(now time.Time, r Request) {
 	if j := p.jobs[r.Job.ID]; j != nil && !j.ended {
 		j.until = later(j.until, now.Add(r.Patience))
+		j.began = j.began || r.MayRun
 		return
 	}
 	j := &jobState{Request: r, arrived: now.Add(-r.Age), until: now.Add(r.Patience)}
 	if r.MayRun {
+		j.began = true
 		j.settle = p.begun.Add(settleTime)
 	}
 	j.work = j.longest(func(s *job.Step) time.Duration { return p.learn.Work(r.Row, s) })
@@ -201,6 +203,9 @@
 	p.jobs[r.Job.ID] = j
 	p.adopt(j)
 	p.place(now)
+	if j.waits() {
+		p.triage(now)
+	}
 }
 
 // inherit takes over the tasks of a withdrawn job of the same id that may still
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,267 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/worker"
+)
+
+// bench is a Pool with workers that a test answers for.
+type bench struct {
+	t    *testing.T
+	pool *Pool
+	now  time.Time
+	rest []Order // taken and not asked for yet
+}
+
+// newBench returns a Pool with workers of 16 cores that were looked at.
+func newBench(t *testing.T, workers int) *bench {
+	b := &bench{t: t, now: time.Unix(1000, 0)}
+	b.pool = New(b.now, Config{Fence: 1, LeaseMax: time.Second, StopMax: 50 * time.Millisecond})
+	for i := range workers {
+		b.announce(fmt.Sprint("w", i), 1)
+	}
+	for _, o := range b.orders(HoldOrder) {
+		b.reply(o, Reply{Done: true})
+	}
+	return b
+}
+
+func (b *bench) announce(id string, i worker.Incarnation) {
+	b.pool.Observe(b.now, worker.Heard{At: b.now, Announcement: worker.Announcement{
+		Worker: worker.ID(id), Incarnation: i, Sequence: 1, Service: "s", Address: id, Room: worker.Room{MilliCores: 16000, MemoryMB: 1000}, Clock: worker.Clock(time.Hour),
+	}})
+}
+
+// take returns all orders and answers that are due.
+func (b *bench) take() ([]Order, []Answer) {
+	orders, answers := b.pool.Take()
+	orders = append(b.rest, orders...)
+	b.rest = nil
+	return orders, answers
+}
+
+// orders returns the orders of one kind that are due, and keeps the others.
+func (b *bench) orders(k OrderKind) (list []Order) {
+	orders, _ := b.take()
+	for _, o := range orders {
+		if o.Kind == k {
+			list = append(list, o)
+		} else {
+			b.rest = append(b.rest, o)
+		}
+	}
+	return list
+}
+
+func (b *bench) reply(o Order, r Reply) {
+	r.Order, r.At = o, b.now
+	if r.Done || r.Refusal != "" {
+		r.Clock, r.Clocked, r.Answerer = worker.Clock(time.Hour+b.now.Sub(time.Unix(1000, 0))), true, o.Incarnation
+	}
+	b.pool.Receive(b.now, r)
+}
+
+func (b *bench) pass(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.pool.Tick(b.now)
+}
+
+// request returns a request of tasks that take about d.
+func request(id string, tasks int, d time.Duration) Request {
+	return Request{
+		Job: job.Job{ID: job.ID(id), Steps: []job.Step{{Count: tasks, Need: worker.Room{MilliCores: 6800, MemoryMB: 64}, Estimate: d}}},
+		Row: "row", Service: "s", MaxAttempts: 2, Stretch: 1.6, Latency: 60 * time.Millisecond, Patience: 2 * time.Second,
+	}
+}
+
+// TestHandedOverJobIsNotCalledNotRun: a job that another dispatcher may have
+// started is not refused as not run by the next one (issue 10; hunt of
+// mwanga-pin, trouble-1).
+func TestHandedOverJobIsNotCalledNotRun(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Submit(b.now, request("full", 2, 3*time.Second)) // takes all the room
+	r := request("handed", 1, 200*time.Millisecond)
+	r.MayRun = true
+	b.pool.Submit(b.now, r)
+	for range 150 {
+		b.pass(20 * time.Millisecond)
+		_, answers := b.pool.Take()
+		for _, a := range answers {
+			if a.Job == "handed" && a.Outcome != job.Abandoned {
+				t.Errorf("after %s the job is answered %+v", b.now.Sub(time.Unix(1000, 0)), a)
+			}
+		}
+	}
+	if b.pool.jobs["handed"] != nil {
+		t.Error("the job was not answered within its caller's time")
+	}
+}
+
+// TestRefusedAtOnceWhenFull: a job that cannot be of use any more is refused when
+// it comes, with a hint, and not held (issue 11).
+func TestRefusedAtOnceWhenFull(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Submit(b.now, request("full", 2, 3*time.Second))
+	b.pool.Submit(b.now, request("short", 8, 60*time.Millisecond))
+	_, answers := b.pool.Take()
+	if len(answers) != 1 || answers[0].Job != "short" || answers[0].Outcome != job.NotRun || answers[0].RetryAfter < time.Second {
+		t.Errorf("answers %+v", answers)
+	}
+}
+
+// TestNeverRefusedWithRoom: a job is not refused or handed away while a worker is
+// free (issue 11).
+func TestNeverRefusedWithRoom(t *testing.T) {
+	b := newBench(t, 2)
+	r := request("late", 2, time.Second)
+	r.Age, r.Elsewhere = 900*time.Millisecond, true
+	b.pool.Submit(b.now, r)
+	orders, answers := b.take()
+	starts := 0
+	for _, o := range orders {
+		if o.Kind == StartOrder {
+			starts++
+		}
+	}
+	if starts != 2 || len(answers) != 0 {
+		t.Errorf("%d starts, answers %+v", starts, answers)
+	}
+}
+
+// TestGuestIsHandedBackAtOnce: a job of another group is not queued.
+func TestGuestIsHandedBackAtOnce(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Submit(b.now, request("full", 2, time.Second))
+	r := request("guest", 1, 60*time.Millisecond)
+	r.Guest = true
+	b.pool.Submit(b.now, r)
+	_, answers := b.pool.Take()
+	if len(answers) != 1 || !answers[0].Elsewhere || answers[0].Outcome != job.NotRun {
+		t.Errorf("answers %+v", answers)
+	}
+}
+
+// TestSilentWorkerIsUsedAgainOnceItAnswers: several orders without an answer at
+// one moment do not keep tasks from a worker that answers again (issue 10).
+func TestSilentWorkerIsUsedAgainOnceItAnswers(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Submit(b.now, request("a", 2, 500*time.Millisecond))
+	for _, o := range b.orders(StartOrder) {
+		b.reply(o, Reply{}) // no answer
+	}
+	b.pass(200 * time.Millisecond)
+	orders, _ := b.take()
+	for _, o := range orders {
+		b.reply(o, Reply{Done: true})
+	}
+	b.pass(100 * time.Millisecond) // the stops have taken effect
+	if starts := b.orders(StartOrder); len(starts) != 2 {
+		t.Errorf("%d tasks start again 300 ms after the silence, want 2", len(starts))
+	}
+}
+
+// TestSilentWorkerIsGrantedNoTime: what runs on a worker that does not answer
+// must lapse before it starts elsewhere, so no probe extends it (issue 10).
+func TestSilentWorkerIsGrantedNoTime(t *testing.T) {
+	b := newBench(t, 2)
+	b.pool.Submit(b.now, request("a", 1, time.Second))
+	starts := b.orders(StartOrder)
+	first := starts[0]
+	b.reply(first, Reply{Done: true})
+	for range 100 {
+		b.pass(20 * time.Millisecond)
+		orders, _ := b.take()
+		for _, o := range orders {
+			if o.Worker == first.Worker && o.Deadline != 0 && b.now.Sub(first.Sent) > time.Second {
+				t.Fatalf("%s after it went silent it is granted time", b.now.Sub(first.Sent))
+			}
+			if o.Kind == StartOrder && o.Worker != first.Worker {
+				if age := b.now.Sub(first.Sent); age < lease {
+					t.Errorf("it starts elsewhere after %s, within the lease", age)
+				}
+				return
+			}
+			if o.Worker == first.Worker && o.Kind == HoldOrder {
+				b.reply(o, Reply{})
+			}
+		}
+	}
+	t.Error("it never starts elsewhere")
+}
+
+// TestStandingRunMovesOn: a run that its worker lists at the same percentage is
+// stopped and started elsewhere, and the worker gets no other for a while
+// (issue 11: a tenth of the workers hang).
+func TestStandingRunMovesOn(t *testing.T) {
+	b := newBench(t, 2)
+	b.pool.Submit(b.now, request("a", 1, time.Second))
+	first := b.orders(StartOrder)[0]
+	b.reply(first, Reply{Done: true})
+	stopped := false
+	for range 60 {
+		b.pass(20 * time.Millisecond)
+		orders, _ := b.take()
+		for _, o := range orders {
+			switch {
+			case o.Kind == StartOrder && o.Worker == first.Worker:
+				t.Fatal("it starts on the same worker again")
+			case o.Kind == StartOrder:
+				if !stopped {
+					t.Error("it starts elsewhere before the stop")
+				}
+				return
+			case o.Kind == StopOrder:
+				stopped = true
+				b.reply(o, Reply{Done: true})
+			case !stopped:
+				b.reply(o, Reply{Done: true, Running: []RunningTask{{Task: first.Task, Run: first.Run, Percent: 7}}})
+			default:
+				b.reply(o, Reply{Done: true, Ended: []End{{Number: 1, Task: first.Task, Run: first.Run, How: EndedOther}}})
+			}
+		}
+	}
+	t.Error("it never starts elsewhere")
+}
+
+// TestFailedTaskTriesAnotherWorker: a worker that fails all it starts costs a job
+// one of its attempts, not all (issue 11).
+func TestFailedTaskTriesAnotherWorker(t *testing.T) {
+	b := newBench(t, 2)
+	b.pool.Submit(b.now, request("a", 1, 100*time.Millisecond))
+	first := b.orders(StartOrder)[0]
+	b.reply(first, Reply{Done: true})
+	b.pass(20 * time.Millisecond)
+	hold := Order{Kind: HoldOrder, Worker: first.Worker, Incarnation: 1, Sent: b.now}
+	b.reply(hold, Reply{Done: true, Ended: []End{{Number: 1, Task: first.Task, Run: 1, How: EndedFailed}}})
+	starts := b.orders(StartOrder)
+	if len(starts) != 1 || starts[0].Worker == first.Worker {
+		t.Errorf("after a failure on %s: %+v", first.Worker, starts)
+	}
+}
+
+// TestOrderWithTheUrgentFirst: of jobs that wait, the one with the nearest
+// objective starts first, whatever came before it.
+func TestOrderWithTheUrgentFirst(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Submit(b.now, request("running", 2, 200*time.Millisecond))
+	starts := b.orders(StartOrder)
+	for _, o := range starts {
+		b.reply(o, Reply{Done: true})
+	}
+	b.pool.Submit(b.now, request("bulk", 4, 900*time.Millisecond))
+	r := request("urgent", 1, 200*time.Millisecond)
+	b.pool.Submit(b.now, r)
+	b.pass(20 * time.Millisecond)
+	b.reply(Order{Kind: HoldOrder, Worker: "w0", Incarnation: 1, Sent: b.now}, Reply{
+		Done: true, Ended: []End{{Number: 1, Task: starts[0].Task, Run: 1, How: EndedDone}},
+		Running: []RunningTask{{Task: starts[1].Task, Run: 1, Percent: 50}},
+	})
+	next := b.orders(StartOrder)
+	if len(next) != 1 || next[0].Task.Job != "urgent" {
+		t.Errorf("started %+v", next)
+	}
+}
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/routes"
+	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/internal/worker"
 )
 
@@ -20,6 +22,12 @@
 	Age         time.Duration // since the caller sent it
 	Patience    time.Duration // how much longer the caller waits
 	MayRun      bool          // it was handed to another dispatcher before
+	// Elsewhere says that another group may have room: the job is handed back
+	// at once if it would be late here.
+	Elsewhere bool
+	// Guest says that the job is of another group: it is refused at once if it
+	// would be late here.
+	Guest bool
 }
 
 // Answer is what became of a Request.
@@ -28,4 +36,20 @@
 	Outcome    job.Outcome
 	Reason     string        // for the log
 	RetryAfter time.Duration // of a refusal
+	Elsewhere  bool          // of a refusal: another group may be in time
 }
+
+// Report is what other groups need to know of one before they hand it jobs.
+type Report struct {
+	FailureDomain vm.FailureDomain `json:"failure_domain"`
+	VM            vm.ID            `json:"vm"` // the dispatcher
+	Fence         lead.Fence       `json:"fence"`
+	FreePlaces    int              `json:"free_places"` // for tasks of the mean size, beside what waits
+}
+
+// leastFree is how many free places a group must have to be handed jobs of
+// others: room for a mean job of each kind, so that its own do not wait for them.
+const leastFree = 8
+
+// Spare reports whether the group takes jobs of others.
+func (r Report) Spare() bool { return r.FreePlaces >= leastFree }
--- a/internal/pool/triage.go
+++ b/internal/pool/triage.go
@@ -110,9 +110,13 @@
 		}
 	}
 	for _, j := range late {
-		if j.began {
+		switch {
+		case j.began:
 			f.run(p, j)
 			continue
+		case j.Guest, j.Elsewhere && now.Sub(j.arrived) < j.due.Sub(j.arrived)/2:
+			p.answer(now, j, Answer{Outcome: job.NotRun, Reason: "it would be late in this group", RetryAfter: minRetryAfter, Elsewhere: true})
+			continue
 		}
 		before := slices.Clone(f)
 		end, limit := f.run(p, j), j.useless()
@@ -126,6 +130,29 @@
 	}
 }
 
+// Report returns what other groups need to know.
+func (p *Pool) Report(now time.Time) Report {
+	r := Report{Fence: p.config.Fence}
+	need, tasks := usualNeed, 0
+	if queue := p.waitingJobs(); len(queue) > 0 {
+		need = meanNeed(queue)
+		for _, j := range queue {
+			tasks += len(j.tasks)
+		}
+	}
+	for _, w := range p.workers {
+		if w.sound(now) {
+			r.FreePlaces += max(0, w.free.MilliCores/need)
+		}
+	}
+	r.FreePlaces -= tasks
+	return r
+}
+
+// usualNeed is assumed of tasks while none waits: the mean of today's tasks, in
+// thousandths of a core.
+const usualNeed = 6800
+
 // meanNeed returns the thousandths of a core that a task of these jobs needs.
 func meanNeed(jobs []*jobState) int {
 	sum := 0
--- a/tamarackpin/internal/fleet/asker.go
+++ b/tamarackpin/internal/fleet/asker.go
@@ -94,6 +94,7 @@
 	lost := false
 	for ctx.Err() == nil && a.known(id) {
 		q.Self = a.Knowledge.Self()
+		q.Report = a.Knowledge.ownReport()
 		q.Version = 0
 		if t := a.Knowledge.Table(); t != nil {
 			q.Version = t.Version
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/internal/worker"
@@ -24,11 +25,13 @@
 	log   *zap.Logger
 	table atomic.Pointer[routes.Table]
 
-	mu     sync.Mutex // guards all below
-	self   vm.Presence
-	roster vm.Roster
-	book   worker.Book
-	news   chan struct{} // closed and replaced with each piece of news
+	mu      sync.Mutex // guards all below
+	self    vm.Presence
+	roster  vm.Roster
+	book    worker.Book
+	report  *pool.Report // of the group that this VM orders, if it does
+	reports map[vm.FailureDomain]heardReport
+	news    chan struct{} // closed and replaced with each piece of news
 }
 
 // NewKnowledge returns what a VM knows at its start.
@@ -144,6 +147,55 @@
 	return list, k.book.Cursor()
 }
 
+// heardReport is a group's Report and when it was made.
+type heardReport struct {
+	pool.Report
+	at time.Time
+}
+
+// reportAge is how long a Report is believed: two questions to a control VM.
+const reportAge = 1500 * time.Millisecond
+
+// SetReport says what this VM reports of the group that it orders; nil if it does
+// not.
+func (k *Knowledge) SetReport(r *pool.Report) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.report = r
+}
+
+func (k *Knowledge) ownReport() *pool.Report {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.report
+}
+
+// hearReport takes in a Report made at a time. k.mu is held.
+func (k *Knowledge) hearReport(at time.Time, r pool.Report) {
+	old, known := k.reports[r.FailureDomain]
+	if known && (r.Fence < old.Fence || r.Fence == old.Fence && !at.After(old.at)) {
+		return
+	}
+	if k.reports == nil {
+		k.reports = make(map[vm.FailureDomain]heardReport)
+	}
+	k.reports[r.FailureDomain] = heardReport{r, at}
+}
+
+// Spare returns the group of another failure domain with the most room, if one
+// takes jobs of others.
+func (k *Knowledge) Spare(now time.Time) (pool.Report, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var best pool.Report
+	for d, r := range k.reports {
+		if d != k.self.FailureDomain && now.Sub(r.at) < reportAge && r.Spare() && r.FreePlaces > best.FreePlaces {
+			best = r.Report
+		}
+	}
+	return best, best.VM != ""
+}
+
 // Prune drops what was not heard of for long.
 func (k *Knowledge) Prune(now time.Time) {
 	k.mu.Lock()
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/internal/wire"
@@ -29,6 +30,7 @@
 	Of      vm.Incarnation  `json:"of,omitempty"`  // the process that the cursors belong to
 	VMs     vm.RosterCursor `json:"vms,omitempty"` // news up to here is known
 	Workers worker.Cursor   `json:"workers,omitempty"`
+	Report  *pool.Report    `json:"report,omitempty"` // of the group that the sender orders
 }
 
 // news answers a question.
@@ -39,6 +41,12 @@
 	VMCursor    vm.RosterCursor `json:"vm_cursor"`
 	Workers     []agedWorker    `json:"workers,omitempty"`
 	WorkerCount worker.Cursor   `json:"worker_cursor"`
+	Reports     []agedReport    `json:"reports,omitempty"` // of the other groups
+}
+
+type agedReport struct {
+	pool.Report
+	Age wire.Duration `json:"age"`
 }
 
 type agedVM struct {
@@ -64,6 +72,11 @@
 // answer waits for news that q does not know of.
 func (k *Knowledge) answer(ctx context.Context, q question) news {
 	k.Meet(time.Now(), q.Self, 0)
+	if q.Report != nil {
+		k.mu.Lock()
+		k.hearReport(time.Now(), *q.Report)
+		k.mu.Unlock()
+	}
 	ctx, cancel := context.WithTimeout(ctx, syncWait)
 	defer cancel()
 	for {
@@ -104,6 +117,11 @@
 			pressing = pressing || h.Since > q.Workers
 		}
 	}
+	for d, r := range k.reports {
+		if age := now.Sub(r.at); q.Self.Callers && d != q.Self.FailureDomain && age < reportAge {
+			n.Reports = append(n.Reports, agedReport{r.Report, wire.Duration(age).Round()})
+		}
+	}
 	return n, pressing
 }
 
@@ -119,5 +137,10 @@
 			k.Leave(w.Worker)
 		}
 	}
+	k.mu.Lock()
+	for _, r := range n.Reports {
+		k.hearReport(now.Add(-r.Age.Std()), r.Report)
+	}
+	k.mu.Unlock()
 	k.Adopt(n.Table, n.Self.VM)
 }
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -15,6 +15,7 @@
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/routes"
+	"tamarackpin.example/tamarackpin/internal/fleet"
 	"tamarackpin.example/tamarackpin/internal/group"
 )
 
@@ -31,8 +32,9 @@
 
 // Gate must be given its fields. It is safe for concurrent use.
 type Gate struct {
-	Group *group.Group
-	Log   *zap.Logger
+	Group     *group.Group
+	Knowledge *fleet.Knowledge
+	Log       *zap.Logger
 
 	inHand atomic.Int64
 	number atomic.Uint64
@@ -85,6 +87,7 @@
 	defer cancel()
 	age := r.Age
 	noLeader := time.Time{}
+	tried := false
 	for {
 		now := time.Now()
 		r.Age, r.Patience = age+now.Sub(begun), until.Sub(now)
@@ -99,10 +102,19 @@
 			continue
 		}
 		noLeader = time.Time{}
+		spare, hasSpare := g.Knowledge.Spare(now)
+		r.Elsewhere = hasSpare && !tried && !r.MayRun
 		handed := g.hand(ctx, leader, changed, r)
-		if handed.Answered {
+		if handed.Answered && !handed.Answer.Elsewhere {
 			return handed.Answer
 		}
+		if handed.Answered {
+			tried = true
+			if a, ok := g.elsewhere(ctx, spare, r); ok {
+				return a
+			}
+			continue
+		}
 		r.MayRun = r.MayRun || handed.MayRun
 		if ctx.Err() != nil || !wait(ctx, nil, retryEvery) {
 			return givenUp(r, "the caller left or its time is over")
@@ -110,6 +122,24 @@
 	}
 }
 
+// elsewhere hands a job that its own group handed back to one with room. It
+// returns ok false if that did not take it either. If it took it and cannot be
+// heard any more, the job ends: it may still run there, and must not run here.
+func (g *Gate) elsewhere(ctx context.Context, spare pool.Report, r pool.Request) (a pool.Answer, ok bool) {
+	r.Elsewhere, r.Guest = false, true
+	handed := g.Group.Hand(ctx, spare.VM, g.number.Add(1), r)
+	event.Log(g.Log, event.JobSpilled, zap.String("job", string(r.Job.ID)), zap.String("failure_domain", string(spare.FailureDomain)),
+		zap.Int("free_places", spare.FreePlaces), zap.Bool("answered", handed.Answered), zap.String("outcome", string(handed.Answer.Outcome)))
+	switch {
+	case handed.Answered && !handed.Answer.Elsewhere:
+		return handed.Answer, true
+	case handed.MayRun && !handed.Answered:
+		r.MayRun = true
+		return givenUp(r, "the group that took the job cannot be heard any more"), true
+	}
+	return pool.Answer{}, false
+}
+
 // hand hands the job to the leader; a change of the leader ends the wait.
 func (g *Gate) hand(ctx context.Context, leader group.Leader, changed <-chan struct{}, r pool.Request) group.Handed {
 	ctx, cancel := context.WithCancel(ctx)
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -115,7 +115,7 @@
 	g.config.Knowledge.Meet(now, s.Self, 0)
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) {
 		g.leadership.Hear(now, s.Self.VM, s.Self.Incarnation, s.Self.Draining)
-		g.leadership.Learn(s.Claim)
+		g.leadership.Learn(s.Self.VM, s.Claim)
 	})
 	if t := g.config.Knowledge.Table(); s.Version > 0 && (t == nil || t.Version < s.Version) {
 		g.config.Asker.FetchTable(ctx, s.Self.VM)
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -142,10 +142,7 @@
 }
 
 func (g *Group) tick(now time.Time) {
-	claim, claimed := lead.Claim{}, false
-	if g.mayClaim(now) {
-		claim, claimed = g.leadership.Tick(now)
-	}
+	claim, claimed := g.leadership.Tick(now, g.config.Asker.Reaches(now))
 	if claimed {
 		event.Log(g.config.Log, event.LeadTaken, zap.Int64("fence", int64(claim.Fence)), zap.Int("living", len(g.leadership.Living(now))))
 		g.dropPool()
@@ -158,13 +155,6 @@
 	}
 }
 
-// mayClaim reports whether this VM sees enough of the system to judge that the
-// leader is gone. One that reaches neither a control VM nor a peer is probably
-// cut off itself, and would take the workers from a leader that lives.
-func (g *Group) mayClaim(now time.Time) bool {
-	return g.leadership.Leads() || g.config.Asker.Reaches(now) || len(g.leadership.Living(now)) > 0 || g.leadership.Alone(now)
-}
-
 // tellWorkers tells the pool what is new of the workers.
 func (g *Group) tellWorkers(now time.Time) {
 	if now.Sub(g.told) < workersEvery {
@@ -176,6 +166,9 @@
 	for _, h := range heard {
 		g.pool.Observe(now, h)
 	}
+	r := g.pool.Report(now)
+	r.VM, r.FailureDomain = g.self.VM, g.self.FailureDomain
+	g.config.Knowledge.SetReport(&r)
 }
 
 // settle carries out what was decided.
@@ -212,6 +205,7 @@
 func (g *Group) dropPool() {
 	g.pool = nil
 	g.counts.Store(nil)
+	g.config.Knowledge.SetReport(nil)
 	for id, list := range g.waiters {
 		for _, w := range list {
 			w.done <- result{dropped: true}
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -81,7 +81,7 @@
 			Knowledge: n.Knowledge, Asker: n.asker, Mesh: n.mesh, Log: log,
 			LeaseMax: s.LeaseMax.Std(), StopMax: s.StopMax.Std(), Call: a.Order,
 		}, &n.mux)
-		n.Gate = &gate.Gate{Group: n.group, Log: log}
+		n.Gate = &gate.Gate{Group: n.group, Knowledge: n.Knowledge, Log: log}
 	}
 	if self.Control {
 		var err error
