Restarts know what was committed; jobs in other groups are watched; refusals are logged apart

A slotbook job was handed to durb-a a second before that was cut off, and its gate waited for it until the caller's deadline, 7.8 s; and after all processes were killed callers were refused for 4 s, since no table was known until the control quorum had elected a leader and committed an entry.

Both sides of a spilled job now ping each other, the gate gives up after two losses and the other group withdraws the job before its caller comes again. What is committed is noted on disk (not synced), so a killed control VM serves the table as it starts. Answers that are not completed have an event of their own, so sampling of the others does not hide them.

Ruled out: keepalive probes of the kernel, which take seconds; serving the last entry of the log without the note, which may never have been committed.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,6 +49,7 @@
 	LeadLost          ID = 802
 	JobAnswered       ID = 803
 	JobSpilled        ID = 804
+	JobNotCompleted   ID = 805
 )
 
 // Entry describes one event.
@@ -92,8 +93,9 @@
 	{TailCutOff, zapcore.WarnLevel, "tail cut off", "The end of the control log was not whole and was cut off; it had not been acknowledged."},
 	{LeadTaken, zapcore.InfoLevel, "lead taken", "This entry VM orders the workers of its failure domain from now on, under this fence."},
 	{LeadLost, zapcore.WarnLevel, "lead lost", "This entry VM does not order the workers any more; another does, or it drains or was frozen."},
-	{JobAnswered, zapcore.InfoLevel, "job answered", "A caller's job has its answer, with the reason if it is not complete."},
+	{JobAnswered, zapcore.InfoLevel, "job answered", "A caller's job is complete."},
 	{JobSpilled, zapcore.InfoLevel, "job handed to another group", "Its own group would have been late with it; the outcome is what the other made of it."},
+	{JobNotCompleted, zapcore.WarnLevel, "job not completed", "A caller's job was refused (not_run), failed or was given up (abandoned), for the reason in the field."},
 }
 
 var byID = func() map[ID]Entry {
@@ -107,6 +109,9 @@
 // All returns every event in ascending order.
 func All() []Entry { return append([]Entry(nil), entries...) }
 
+// Err returns err as a field of one line, without the stack that it carries.
+func Err(err error) zap.Field { return zap.String("error", err.Error()) }
+
 // Log writes event id with its text and level.
 func Log(l *zap.Logger, id ID, fields ...zap.Field) {
 	e := byID[id]
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -85,7 +85,8 @@
 func New(now time.Time, self Member, saved Saved, random func() float64) *Core {
 	c := &Core{self: self, random: random, hard: saved.HardState, role: Follower}
 	c.log = entryLog{snapshot: saved.Snapshot, entries: slices.Clone(saved.Entries)}
-	c.commit, c.applied = saved.Snapshot.Index, saved.Snapshot.Index
+	c.applied = saved.Snapshot.Index
+	c.commit = max(c.applied, min(saved.Commit, c.log.last()))
 	c.stable = c.log.last()
 	c.config, c.configAt = c.log.config()
 	c.resetElection(now)
--- a/internal/quorum/entry.go
+++ b/internal/quorum/entry.go
@@ -34,6 +34,7 @@
 	HardState HardState
 	Snapshot  Snapshot
 	Entries   []Entry
+	Commit    Index // known to be committed; may be too low
 }
 
 // Empty reports whether the disk was never part of a quorum.
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -158,6 +158,9 @@
 
 // apply compares what a member applies with what all others applied.
 func (w *world) apply(p *peer, r Ready) error {
+	if w.random.IntN(2) == 0 {
+		p.disk.Commit = p.core.Commit() // noted, as the owner may
+	}
 	for _, e := range r.Committed {
 		text := fmt.Sprintf("%d %s %v", e.Term, e.Data, e.Config)
 		if before, ok := w.committed[e.Index]; ok && before != text {
--- a/internal/wal/files.go
+++ b/internal/wal/files.go
@@ -18,6 +18,7 @@
 	logPattern      = "control-%08d.log"
 	syncedFile      = "control.synced"
 	identityFile    = "identity.json"
+	commitFile      = "commit.noted"
 )
 
 func snapshotName(number int) string { return fmt.Sprintf(snapshotPattern, number) }
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -95,6 +95,7 @@
 		}
 	}
 	l.Member = member
+	saved.Commit = l.notedCommit()
 	return l, saved, sweep(folder, l.number)
 }
 
@@ -167,6 +168,27 @@
 	return int64(binary.BigEndian.Uint64(payload[8:]))
 }
 
+// NoteCommit writes down that entries up to i are committed, so that a restart
+// knows it before it hears a leader. It is not synced: after a loss of power an
+// older note, or none, is found.
+func (l *Log) NoteCommit(i quorum.Index) error {
+	frame := disk.AppendFrame(nil, binary.BigEndian.AppendUint64(nil, uint64(i)))
+	return errors.Wrap(os.WriteFile(filepath.Join(l.folder, commitFile), frame, 0o600), "noting what is committed")
+}
+
+// notedCommit returns the last NoteCommit that can be read, or 0.
+func (l *Log) notedCommit() quorum.Index {
+	b, err := os.ReadFile(filepath.Join(l.folder, commitFile))
+	if err != nil {
+		return 0
+	}
+	payload, _, _, err := disk.CutFrame(b)
+	if err != nil || len(payload) != 8 {
+		return 0
+	}
+	return quorum.Index(binary.BigEndian.Uint64(payload))
+}
+
 // SaveSnapshot starts a new log from saved and removes the old one. After an
 // error other than [ErrBroken] the old one is still in use.
 func (l *Log) SaveSnapshot(saved quorum.Saved) error {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -295,3 +295,38 @@
 		})
 	}
 }
+
+// TestCommitIsNoted: what was noted is found; a note that is torn or missing
+// counts as none (issue 10: all processes killed at once).
+func TestCommitIsNoted(t *testing.T) {
+	folder := t.TempDir()
+	open := func() quorum.Index {
+		l, saved, err := Open(folder, "vm0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		if err := l.NoteCommit(saved.Commit + 7); err != nil {
+			t.Fatal(err)
+		}
+		return saved.Commit
+	}
+	for i, want := range []quorum.Index{0, 7, 14} {
+		if got := open(); got != want {
+			t.Errorf("start %d: %d, want %d", i, got, want)
+		}
+	}
+	path := filepath.Join(folder, commitFile)
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range b {
+		if err := os.WriteFile(path, b[:i], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got := open(); got != 0 {
+			t.Errorf("a note of %d bytes is taken for %d", i, got)
+		}
+	}
+}
--- a/tamarackpin/internal/fleet/asker.go
+++ b/tamarackpin/internal/fleet/asker.go
@@ -102,7 +102,7 @@
 		n, err := a.once(ctx, id, q)
 		if err != nil {
 			if !lost && ctx.Err() == nil {
-				event.Log(a.Log, event.ControlLost, zap.String("vm", string(id)), zap.Error(err))
+				event.Log(a.Log, event.ControlLost, zap.String("vm", string(id)), event.Err(err))
 			}
 			lost = true
 			select {
@@ -138,7 +138,7 @@
 	defer cancel()
 	t, err := peer.Call[*routes.Table](ctx, a.Mesh, from, report.UseControl, methodTable, struct{}{})
 	if err != nil {
-		a.Log.Debug("fetching the table failed", zap.String("vm", string(from)), zap.Error(err))
+		a.Log.Debug("fetching the table failed", zap.String("vm", string(from)), event.Err(err))
 		return
 	}
 	a.Knowledge.Adopt(t, from)
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -76,7 +76,11 @@
 	begun := time.Now()
 	a := g.run(ctx, begun, r)
 	a.Job = r.Job.ID
-	event.Log(g.Log, event.JobAnswered, zap.String("job", string(a.Job)), zap.String("row", string(r.Row)), zap.String("outcome", string(a.Outcome)),
+	id := event.JobAnswered
+	if a.Outcome != job.Completed {
+		id = event.JobNotCompleted
+	}
+	event.Log(g.Log, id, zap.String("job", string(a.Job)), zap.String("row", string(r.Row)), zap.String("outcome", string(a.Outcome)),
 		zap.String("reason", a.Reason), zap.Duration("took", time.Since(begun)), zap.Duration("patience", r.Patience))
 	return a
 }
@@ -127,7 +131,7 @@
 // heard any more, the job ends: it may still run there, and must not run here.
 func (g *Gate) elsewhere(ctx context.Context, spare pool.Report, r pool.Request) (a pool.Answer, ok bool) {
 	r.Elsewhere, r.Guest = false, true
-	handed := g.Group.Hand(ctx, spare.VM, g.number.Add(1), r)
+	handed := g.Group.HandElsewhere(ctx, spare.VM, g.number.Add(1), r)
 	event.Log(g.Log, event.JobSpilled, zap.String("job", string(r.Job.ID)), zap.String("failure_domain", string(spare.FailureDomain)),
 		zap.Int("free_places", spare.FreePlaces), zap.Bool("answered", handed.Answered), zap.String("outcome", string(handed.Answer.Outcome)))
 	switch {
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -79,7 +79,7 @@
 			g.heard(ctx, answer)
 		case !lost && ctx.Err() == nil:
 			lost = true
-			event.Log(g.config.Log, event.VMDead, zap.String("vm", string(id)), zap.Error(err))
+			event.Log(g.config.Log, event.VMDead, zap.String("vm", string(id)), event.Err(err))
 		}
 		select {
 		case <-ctx.Done():
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -63,6 +63,9 @@
 	leader atomic.Pointer[Leader]
 	counts atomic.Pointer[pool.Counts]
 
+	pingMu sync.Mutex // guards pings
+	pings  map[vm.ID]time.Time
+
 	changeMu sync.Mutex // guards change
 	change   chan struct{}
 
@@ -80,7 +83,7 @@
 	self := c.Knowledge.Self()
 	g := &Group{
 		config: c, self: self, change: make(chan struct{}), ring: ring.New[command](ringSize),
-		leadership: lead.New(now, self.VM, self.Incarnation), waiters: make(map[job.ID][]waiter),
+		leadership: lead.New(now, self.VM, self.Incarnation), waiters: make(map[job.ID][]waiter), pings: make(map[vm.ID]time.Time),
 	}
 	g.leader.Store(&Leader{})
 	g.serve(x)
--- a/tamarackpin/internal/group/hand.go
+++ b/tamarackpin/internal/group/hand.go
@@ -20,6 +20,72 @@
 // withdrawTimeout bounds telling a leader that a job is withdrawn.
 const withdrawTimeout = time.Second
 
+// Times of the watch over jobs in other groups. The caller comes again 1.3 s after
+// a job is given up, so the other group must have withdrawn it by then.
+const (
+	// pingEvery is how often both sides show that they reach each other.
+	pingEvery   = 250 * time.Millisecond
+	pingTimeout = 250 * time.Millisecond
+	// pingsLost is how many pings in a row have no answer before the job is given
+	// up.
+	pingsLost = 2
+	// guestAfter is how long the other group runs a job without a ping.
+	guestAfter = 900 * time.Millisecond
+)
+
+// HandElsewhere hands a job to the dispatcher of another group, and gives it up
+// as soon as that cannot be reached any more.
+func (g *Group) HandElsewhere(ctx context.Context, to vm.ID, number uint64, r pool.Request) Handed {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		for lost := 0; lost < pingsLost && ctx.Err() == nil; {
+			pingCtx, done := context.WithTimeout(ctx, pingTimeout)
+			_, err := peer.Call[struct{}](pingCtx, g.config.Mesh, to, report.UseForward, methodPing, struct{}{})
+			done()
+			if lost++; err == nil {
+				lost = 0
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(pingEvery):
+			}
+		}
+	}()
+	return g.Hand(ctx, to, number, r)
+}
+
+// servePing notes that a gate of another group is reached.
+func (g *Group) servePing(_ context.Context, from vm.ID, _ struct{}) (struct{}, error) {
+	g.pingMu.Lock()
+	defer g.pingMu.Unlock()
+	g.pings[from] = time.Now()
+	return struct{}{}, nil
+}
+
+// watchGuest returns when a gate of another group has not been heard for a while
+// or ctx is done.
+func (g *Group) watchGuest(ctx context.Context, from vm.ID) {
+	begun := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pingEvery):
+		}
+		g.pingMu.Lock()
+		heard := g.pings[from]
+		g.pingMu.Unlock()
+		if heard.Before(begun) {
+			heard = begun
+		}
+		if time.Since(heard) > guestAfter {
+			return
+		}
+	}
+}
+
 // Hand hands a job to the leader and waits for its answer, or until ctx is done:
 // then the job is withdrawn. number tells the calls of this VM apart.
 func (g *Group) Hand(ctx context.Context, leader vm.ID, number uint64, r pool.Request) Handed {
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -16,6 +16,7 @@
 	methodRun      peer.Method = "group.run"
 	methodWithdraw peer.Method = "group.withdraw"
 	methodExchange peer.Method = "group.exchange"
+	methodPing     peer.Method = "group.ping"
 )
 
 // Ticket tells the calls of one gate apart.
@@ -58,9 +59,16 @@
 
 func (g *Group) serve(x *peer.Mux) {
 	peer.Handle(x, methodExchange, g.serveExchange)
-	peer.Handle(x, methodRun, func(ctx context.Context, _ vm.ID, w work) (outcome, error) {
+	peer.Handle(x, methodPing, g.servePing)
+	peer.Handle(x, methodRun, func(ctx context.Context, from vm.ID, w work) (outcome, error) {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
+		if w.Request.Guest {
+			go func() {
+				defer cancel()
+				g.watchGuest(ctx, from)
+			}()
+		}
 		go func() {
 			select {
 			case <-ctx.Done():
--- a/tamarackpin/internal/node/run.go
+++ b/tamarackpin/internal/node/run.go
@@ -78,7 +78,7 @@
 
 // fail ends the process: something is wrong that it must not go on with.
 func (n *Node) fail(err error) {
-	event.Log(n.log, event.Fault, zap.Error(err))
+	event.Log(n.log, event.Fault, event.Err(err))
 	select {
 	case n.fatal <- err:
 	default:
--- a/tamarackpin/internal/replica/replica.go
+++ b/tamarackpin/internal/replica/replica.go
@@ -101,6 +101,7 @@
 	waiting map[quorum.Index]waiter
 	empty   bool // the disk was never part of a quorum
 	leader  vm.ID
+	noted   quorum.Index // that was written down as committed
 	duties  sync.WaitGroup
 }
 
@@ -209,6 +210,7 @@
 		}
 		r.core.SaveDone(time.Now())
 	}
+	r.noteCommit()
 	r.noteLeader()
 	return r.compact(ctx)
 }
@@ -268,6 +270,19 @@
 	return nil
 }
 
+// noteCommit writes down what is committed.
+func (r *Replica) noteCommit() {
+	c := r.core.Commit()
+	if c == r.noted {
+		return
+	}
+	r.noted = c
+	if err := r.log.NoteCommit(c); err != nil {
+		// A restart then learns it from the leader.
+		r.config.Log.Debug("noting what is committed failed", event.Err(err))
+	}
+}
+
 // noteLeader tells who leads, and answers the proposals that a leader can no
 // longer follow.
 func (r *Replica) noteLeader() {
