A lost disk is replaced in one step; a VM that ends refuses what comes after its notice

A control VM that came back with an empty disk was taken out before its new disk went in, and 3 rounds of 1 s were counted anew in between: for over 2 s the quorum had two voters, and when one of these lost its disk nothing could be committed any more.

The new disk now takes the old one's place in one step once it is caught up (safe, since a VM has one disk: see Config.swaps), after two rounds of 250 ms. New jobs are refused as not run after the notice; idle connections stay open until the end.

Ruled out: four voters in between, which need three of four with one gone.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -220,7 +220,8 @@
 	return c.propose(now, Entry{Data: data}), c.hard.Term, nil
 }
 
-// ProposeConfig appends a change of members by one step. It must wait until the
+// ProposeConfig appends a change of members by one step, or puts a learner that is
+// caught up in the place of its VM's lost disk. It must wait until the
 // one before is committed, and until this leader committed an entry of its own
 // term.
 func (c *Core) ProposeConfig(now time.Time, next Config) error {
@@ -231,7 +232,8 @@
 	if c.configAt > c.commit || ownTerm != c.hard.Term {
 		return ErrConfigPending
 	}
-	if !c.config.oneStep(next) || len(next.Voters) == 0 {
+	swap := c.config.swaps(next) && c.CaughtUp()
+	if !c.config.oneStep(next) && !swap || len(next.Voters) == 0 {
 		return errors.New("a change of members takes one step at a time")
 	}
 	if c.config.equal(next) {
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -66,6 +66,24 @@
 	return c.Learner == o.Learner && slices.Equal(c.Voters, o.Voters)
 }
 
+// swaps reports whether o differs from c by the learner in place of the voter that
+// ran on the same VM. The old disk is gone, since a VM has one: it votes and
+// acknowledges no more. So a majority of c is one of the voters that stay, and
+// overlaps every majority of o; what the old disk alone acknowledged besides, the
+// learner holds, if it is caught up.
+func (c Config) swaps(o Config) bool {
+	old, votes := c.Disk(c.Learner.VM)
+	if c.Learner.IsZero() || !votes || len(o.Voters) != len(c.Voters) {
+		return false
+	}
+	for _, m := range c.Voters {
+		if m != old && !o.Votes(m) {
+			return false
+		}
+	}
+	return o.Votes(c.Learner)
+}
+
 // oneStep reports whether the majorities of c and o always overlap, as they do
 // when they differ by at most one voter.
 func (c Config) oneStep(o Config) bool {
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -56,7 +56,8 @@
 	mesh     *peer.Mesh
 	asker    *fleet.Asker
 	group    *group.Group
-	draining atomic.Bool
+	draining atomic.Bool // not ready any more
+	refusing atomic.Bool // new jobs are refused
 
 	ctx    context.Context // of the duties
 	cancel context.CancelFunc
@@ -113,8 +114,8 @@
 	return leader.VM != ""
 }
 
-// Draining reports whether a graceful shutdown has begun.
-func (n *Node) Draining() bool { return n.draining.Load() }
+// Refusing reports whether new jobs are refused since the process ends.
+func (n *Node) Refusing() bool { return n.refusing.Load() }
 
 // service is one address with what is served there.
 type service struct {
@@ -156,10 +157,21 @@
 	headerBytes   = 16 << 10
 )
 
+// closing asks those whose requests are answered during a shutdown to connect
+// anew. Idle connections stay open meanwhile: a request may be on its way on any.
+func (n *Node) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (n *Node) server(h http.Handler) *http.Server {
 	errorLog, _ := zap.NewStdLogAt(n.log, zap.DebugLevel)
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: errorLog,
+		Handler: n.closing(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: errorLog,
 	}
 }
 
--- a/tamarackpin/internal/node/run.go
+++ b/tamarackpin/internal/node/run.go
@@ -17,8 +17,10 @@
 const (
 	// shutdownMargin is left of the limit for what ends the process itself.
 	shutdownMargin = 700 * time.Millisecond
-	// notice is how long callers still come after this VM says it is not ready:
-	// the balancer asks every second and acts on the second miss.
+	// notice is how long callers' jobs are still taken after this VM says that it
+	// is not ready: the balancer asks every second and acts on the second miss.
+	// Where it has no other VM it goes on sending, and those jobs are refused: they
+	// might not end before the process does.
 	notice      = 2300 * time.Millisecond
 	inHandEvery = 20 * time.Millisecond
 )
@@ -97,14 +99,10 @@
 	if n.group != nil {
 		n.group.Drain(limit)
 	}
-	for _, s := range services {
-		if s.server != nil {
-			s.server.SetKeepAlivesEnabled(s.name == "readiness" || s.name == "metrics")
-		}
-	}
 	if n.group != nil {
 		pause(limit, notice)
 	}
+	n.refusing.Store(true)
 	for n.inHand() > 0 && limit.Err() == nil {
 		pause(limit, inHandEvery)
 	}
--- a/tamarackpin/internal/replica/membership.go
+++ b/tamarackpin/internal/replica/membership.go
@@ -14,11 +14,12 @@
 // Times of the loops that form the quorum and change its members.
 const (
 	foundEvery  = 200 * time.Millisecond
-	memberEvery = time.Second
+	memberEvery = 250 * time.Millisecond
 	memberSoon  = 50 * time.Millisecond
 	// changeAfter is how many rounds in a row a member must show another disk
-	// than the quorum knows before it is replaced.
-	changeAfter = 3
+	// than the quorum knows before it is replaced: soon, since until then one more
+	// loss ends the quorum.
+	changeAfter = 2
 )
 
 // Identity is what a member says of its disk.
@@ -156,8 +157,8 @@
 
 // nextConfig returns the next step from c towards the wanted members. A wanted
 // member without a disk is one that cannot be asked now; it stays as it is. A
-// member with a new disk is brought up to date as a learner before the old disk
-// is taken out, so that the quorum is smaller for a moment only.
+// member with a new disk is brought up to date as a learner before it takes the
+// place of the old disk.
 func nextConfig(c quorum.Config, wanted map[vm.ID]quorum.Member, caughtUp bool) (quorum.Config, bool) {
 	if l := c.Learner; !l.IsZero() {
 		return nextOfLearner(c, wanted[l.VM], caughtUp)
@@ -186,7 +187,9 @@
 	case !caughtUp:
 		return c, false
 	case votes:
-		return quorum.Config{Voters: without(c.Voters, old), Learner: c.Learner}, true
+		// In one step: with two voters in between, the loss of another disk would
+		// end the quorum.
+		return quorum.Config{Voters: append(without(c.Voters, old), c.Learner)}, true
 	}
 	return quorum.Config{Voters: append(slices.Clone(c.Voters), c.Learner)}, true
 }
