The quorum's core sends in a fixed order, so that schedules repeat

The order of members is now that of the configuration.

Ruled out: more schedules, which would only make the failure rarer.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -179,7 +179,7 @@
 	}
 	if !now.Before(c.beat) {
 		c.beat = now.Add(HeartbeatEvery)
-		for m := range c.others {
+		for _, m := range c.config.others(c.self) {
 			c.replicate(now, m, true)
 		}
 	}
@@ -251,7 +251,7 @@
 		c.config, c.configAt = *e.Config, e.Index
 		c.track(now)
 	}
-	for m := range c.others {
+	for _, m := range c.config.others(c.self) {
 		c.replicate(now, m, false)
 	}
 	return e.Index
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -173,7 +173,7 @@
 		return
 	}
 	c.commit = held
-	for m := range c.others {
+	for _, m := range c.config.others(c.self) {
 		c.replicate(now, m, true)
 	}
 	if !c.config.Votes(c.self) && c.configAt <= c.commit {
