Work goes on while all control VMs are dark; neighbours tell a restarted VM all

Workers whose announcements stopped are now asked by the dispatcher every half second and count as alive while they answer, up to 30 s; a process that starts asks its neighbours once for table, VMs and workers.

--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -31,12 +31,12 @@
 	if p.fenced || w.holding || w.stale || w.Address == "" {
 		return
 	}
-	probe := w.silent > 0 && w.Usable(now) && now.Sub(w.holdAt) >= probeEvery
+	probe := (w.silent > 0 && w.Usable(now) || w.unheard(now)) && now.Sub(w.holdAt) >= probeEvery
 	if w.listed && !w.busy() && !probe {
 		return
 	}
 	o := Order{Kind: HoldOrder, Seen: w.seen}
-	if w.listed && w.silent == 0 {
+	if w.listed && w.silent == 0 && w.busy() {
 		o.Wait = holdWait
 	}
 	if w.busy() && w.timing.Known() && w.silent == 0 {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -265,3 +265,31 @@
 		t.Errorf("started %+v", next)
 	}
 }
+
+// TestWorkersWithoutHeartbeatsAreProbed: while all control VMs are dark nobody
+// passes on heartbeats; workers that answer get tasks all the same, and those
+// that do not get none (issue 10; deploy/days/rolling-restart-in-the-dark).
+func TestWorkersWithoutHeartbeatsAreProbed(t *testing.T) {
+	b := newBench(t, 2)
+	for range 400 { // 8 s
+		b.pass(20 * time.Millisecond)
+		orders, _ := b.take()
+		for _, o := range orders {
+			if o.Worker == "w0" {
+				b.reply(o, Reply{Done: true})
+			} else {
+				b.reply(o, Reply{})
+			}
+		}
+	}
+	b.pool.Submit(b.now, request("a", 4, 100*time.Millisecond))
+	starts := b.orders(StartOrder)
+	if len(starts) != 2 {
+		t.Errorf("%d tasks started, want the two that fit on the worker that answers", len(starts))
+	}
+	for _, o := range starts {
+		if o.Worker != "w0" {
+			t.Errorf("a task started on %s, which does not answer", o.Worker)
+		}
+	}
+}
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -26,6 +26,7 @@
 	}
 	if r.Done || r.Clocked {
 		w.silent = 0
+		w.answered = now
 	}
 	switch {
 	case r.Refusal == RefusedFence:
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -139,14 +139,37 @@
 	failures int       // runs that failed, in a row
 	stuck    int       // runs that stood still, since one was done
 	extended time.Time // leases may last until then
+	answered time.Time // the newest answer
 	stale    bool      // another incarnation answered; wait for its announcement
 }
 
 // sound reports whether tasks may be given to w: it was looked at, answers, is
 // not leaving and was not avoided for its failures.
 func (w *workerState) sound(now time.Time) bool {
-	return w.listed && !w.stale && w.silent == 0 && w.Usable(now) && !now.Before(w.avoid)
+	return w.listed && !w.stale && w.silent == 0 && w.alive(now) && !now.Before(w.avoid)
 }
 
+// alive reports whether w was heard, by its announcements or by an answer. The
+// former do not arrive while all control VMs are lost.
+func (w *workerState) alive(now time.Time) bool {
+	return w.Usable(now) || !w.Gone && !w.Leaving && now.Sub(w.answered) < answeredFor
+}
+
+// unheard reports whether w is to be asked for a sign of life, since its
+// announcements stopped and it answered nothing for a while.
+func (w *workerState) unheard(now time.Time) bool {
+	silent := now.Sub(w.At)
+	return !w.Gone && !w.Leaving && silent > worker.SilentAfter-answeredFor && silent < unheardFor && now.Sub(w.answered) > answeredFor/2
+}
+
+// Times of workers whose announcements stopped.
+const (
+	// answeredFor is how long an answer shows that a worker lives: two probes.
+	answeredFor = time.Second
+	// unheardFor is how long such a worker is asked: longer than all control VMs
+	// are dark at once, as the platform names it.
+	unheardFor = 30 * time.Second
+)
+
 // busy reports whether something may run on w.
 func (w *workerState) busy() bool { return len(w.tasks) > 0 || len(w.alien) > 0 }
--- a/tamarackpin/internal/fleet/asker.go
+++ b/tamarackpin/internal/fleet/asker.go
@@ -10,7 +10,6 @@
 
 	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/report"
-	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/tamarackpin/internal/peer"
 )
@@ -132,14 +131,19 @@
 	return now.Sub(time.Unix(0, a.reached.Load())) < reachedFor
 }
 
-// FetchTable asks another VM for its table and puts it in force if it is later.
-func (a *Asker) FetchTable(ctx context.Context, from vm.ID) {
+// Catch asks another VM once for all that it knows: a process that starts while
+// no control VM can be reached learns table and workers from its neighbours.
+func (a *Asker) Catch(ctx context.Context, from vm.ID) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	t, err := peer.Call[*routes.Table](ctx, a.Mesh, from, report.UseControl, methodTable, struct{}{})
+	q := question{Self: a.Knowledge.Self()}
+	if t := a.Knowledge.Table(); t != nil {
+		q.Version = t.Version
+	}
+	n, err := peer.Call[news](ctx, a.Mesh, from, report.UseControl, methodKnown, q)
 	if err != nil {
-		a.Log.Debug("fetching the table failed", zap.String("vm", string(from)), event.Err(err))
+		a.Log.Debug("asking a neighbour failed", zap.String("vm", string(from)), event.Err(err))
 		return
 	}
-	a.Knowledge.Adopt(t, from)
+	a.Knowledge.absorb(time.Now(), n)
 }
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -133,6 +133,13 @@
 	return list
 }
 
+// KnowsWorkers reports whether any worker was heard of.
+func (k *Knowledge) KnowsWorkers() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Cursor() > 0
+}
+
 // Workers returns what was heard of the workers of a failure domain after the
 // cursor, and the present cursor.
 func (k *Knowledge) Workers(d vm.FailureDomain, after worker.Cursor) ([]worker.Heard, worker.Cursor) {
--- /dev/null
+++ b/tamarackpin/internal/fleet/knowledge_test.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/routes"
+	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/internal/worker"
+)
+
+func knowledge(id vm.ID, domain vm.FailureDomain) *Knowledge {
+	return NewKnowledge(vm.Presence{VM: id, FailureDomain: domain, Incarnation: 1, Callers: true}, zap.NewNop())
+}
+
+func announcement(id worker.ID, sequence uint64, domain vm.FailureDomain) worker.Announcement {
+	return worker.Announcement{Worker: id, Incarnation: 1, Sequence: sequence, Service: "s", Address: "10.0.0.1:1", FailureDomain: domain}
+}
+
+// TestNeighbourTellsAll: a process that starts learns table, VMs and the workers
+// of its failure domain from one answer, and what is not new changes nothing.
+func TestNeighbourTellsAll(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old := knowledge("ip-01", "a")
+	old.Adopt(&routes.Table{Version: 7}, "")
+	old.Meet(now, vm.Presence{VM: "ip-03", FailureDomain: "a", Incarnation: 4}, 0)
+	old.Announce(now, announcement("w1", 1, "a"), 0)
+	old.Announce(now, announcement("w2", 1, "b"), 0)
+	fresh := knowledge("ip-02", "a")
+	n, pressing := old.since(now.Add(time.Second), question{Self: fresh.Self()})
+	if !pressing {
+		t.Error("it is not told at once")
+	}
+	fresh.absorb(now.Add(time.Second), n)
+	if got := fresh.Table(); got == nil || got.Version != 7 {
+		t.Errorf("table %+v", got)
+	}
+	if got := fresh.VMs(func(vm.Present) bool { return true }); len(got) != 2 {
+		t.Errorf("VMs %+v", got)
+	}
+	workers, _ := fresh.Workers("a", 0)
+	if len(workers) != 1 || workers[0].Worker != "w1" || !workers[0].At.Equal(now) {
+		t.Errorf("workers %+v", workers)
+	}
+	again, pressing := old.since(now.Add(time.Second), question{Self: fresh.Self(), Version: 7, Of: 1, VMs: n.VMCursor, Workers: n.WorkerCount})
+	if pressing || again.Table != nil || len(again.VMs)+len(again.Workers) != 0 {
+		t.Errorf("what is known is told again: %+v", again)
+	}
+}
+
+// TestTableNeverGoesBack in one life of a process, whoever tells it.
+func TestTableNeverGoesBack(t *testing.T) {
+	k := knowledge("ip-01", "a")
+	for _, c := range []struct{ version, want routes.Version }{{3, 3}, {2, 3}, {3, 3}, {9, 9}, {4, 9}} {
+		k.Adopt(&routes.Table{Version: c.version}, "")
+		if got := k.Table().Version; got != c.want {
+			t.Errorf("after %d: %d, want %d", c.version, got, c.want)
+		}
+	}
+}
+
+// TestSpareGroup: jobs go to a group with room that reported a moment ago, and
+// not to their own.
+func TestSpareGroup(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := knowledge("ip-01", "a")
+	for _, r := range []pool.Report{
+		{FailureDomain: "a", VM: "ip-01", Fence: 1, FreePlaces: 40},
+		{FailureDomain: "b", VM: "ip-02", Fence: 1, FreePlaces: 12},
+		{FailureDomain: "c", VM: "ip-03", Fence: 1, FreePlaces: 3},
+	} {
+		k.hearReport(now, r)
+	}
+	if r, ok := k.Spare(now.Add(time.Second)); !ok || r.FailureDomain != "b" {
+		t.Errorf("%+v, %v", r, ok)
+	}
+	k.hearReport(now.Add(time.Second), pool.Report{FailureDomain: "b", VM: "ip-04", Fence: 0, FreePlaces: 30})
+	if r, _ := k.Spare(now.Add(time.Second)); r.VM != "ip-02" {
+		t.Errorf("a report under an older fence counts: %+v", r)
+	}
+	if r, ok := k.Spare(now.Add(2 * time.Second)); ok {
+		t.Errorf("an old report counts: %+v", r)
+	}
+}
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -15,7 +15,7 @@
 // The methods between VMs.
 const (
 	methodSync  peer.Method = "fleet.sync"
-	methodTable peer.Method = "fleet.table"
+	methodKnown peer.Method = "fleet.known"
 )
 
 // syncWait is how long a control VM without news keeps a question. News of the
@@ -60,10 +60,13 @@
 	Age  wire.Duration `json:"age"`
 }
 
-// Serve registers what a VM answers to others: every VM tells its table, a
-// control VM all news.
+// Serve registers what a VM answers to others: every VM tells what it knows at
+// once, a control VM keeps the question until there is news.
 func (k *Knowledge) Serve(x *peer.Mux) {
-	peer.Handle(x, methodTable, func(context.Context, vm.ID, struct{}) (*routes.Table, error) { return k.Table(), nil })
+	peer.Handle(x, methodKnown, func(_ context.Context, _ vm.ID, q question) (news, error) {
+		n, _ := k.since(time.Now(), q)
+		return n, nil
+	})
 	if k.self.Control {
 		peer.Handle(x, methodSync, func(ctx context.Context, _ vm.ID, q question) (news, error) { return k.answer(ctx, q), nil })
 	}
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -117,7 +117,9 @@
 		g.leadership.Hear(now, s.Self.VM, s.Self.Incarnation, s.Self.Draining)
 		g.leadership.Learn(s.Self.VM, s.Claim)
 	})
-	if t := g.config.Knowledge.Table(); s.Version > 0 && (t == nil || t.Version < s.Version) {
-		g.config.Asker.FetchTable(ctx, s.Self.VM)
+	t := g.config.Knowledge.Table()
+	behind := s.Version > 0 && (t == nil || t.Version < s.Version)
+	if behind || !g.config.Knowledge.KnowsWorkers() {
+		g.config.Asker.Catch(ctx, s.Self.VM)
 	}
 }
