A draining leader goes on until another takes over

The two entry VMs of moshi-b were restarted 2 s apart; the second gave up the lead as it began to drain while the first was still ending, so nobody ordered the workers from 7.0 to 8.8 s, and 63 callers were refused after waiting 1.5 s. TestLastOneLeadsWhileItDrains failed first.

Ruled out: a shorter drain; the balancer needs two misses to notice.

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -210,3 +210,24 @@
 		}
 	}
 }
+
+// TestLastOneLeadsWhileItDrains: two entry VMs that are restarted in turn drain at
+// the same time for a moment; somebody leads all the while (issue 10; incident
+// inc-c1e7 of mwanga-pin).
+func TestLastOneLeadsWhileItDrains(t *testing.T) {
+	s := newSim(2)
+	s.pass(1200 * time.Millisecond)
+	s.vms[0].Drain()
+	s.pass(400 * time.Millisecond)
+	s.oneLeader(t, 1, "the first drains")
+	s.vms[1].Drain()
+	s.pass(500 * time.Millisecond)
+	s.oneLeader(t, 1, "both drain")
+	s.frozen[0] = true // it ends
+	s.pass(time.Second)
+	s.oneLeader(t, 1, "the first ended")
+	s.frozen[0] = false
+	s.restart(0)
+	s.pass(settleTime + 400*time.Millisecond)
+	s.oneLeader(t, 0, "the first is back")
+}
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// Drain makes the process claim nothing from now on and give up what it holds.
+// Drain makes the process leave the lead to those that do not drain. It goes on
+// until one of them claims.
 func (l *Leadership) Drain() { l.draining = true }
 
 // Claim returns the newest claim.
@@ -109,7 +110,7 @@
 
 func (l *Leadership) alive(now time.Time, id vm.ID, i vm.Incarnation) bool {
 	p, ok := l.peers[id]
-	return ok && p.Incarnation == i && !p.Draining && now.Sub(p.Heard) < DeadAfter
+	return ok && p.Incarnation == i && now.Sub(p.Heard) < DeadAfter
 }
 
 // Tick decides whether this process claims now, and returns the claim if it
@@ -127,13 +128,13 @@
 	if paused {
 		l.begun = now
 	}
-	if l.Leads() && (paused || l.draining || l.isolated(now)) {
+	if l.Leads() && (paused || l.isolated(now)) {
 		l.claim = Claim{Fence: l.claim.Fence}
 	}
-	if l.draining {
-		return Claim{}, false
+	leader, led := l.Leader(now)
+	if led && !l.draining && l.peers[leader].Draining {
+		led = false // it goes on until another has taken over
 	}
-	_, led := l.Leader(now)
 	settled := now.Sub(l.begun) >= settleTime && now.Sub(l.refused) >= yieldTime
 	sees := reaches || len(l.Living(now)) > 0 || now.Sub(l.contact) > aloneTime
 	if led || !settled || !sees || !l.first(now) {
@@ -166,10 +167,11 @@
 	return false
 }
 
-// first reports whether this process comes first among those that live.
+// first reports whether this process comes first among those that live: one that
+// does not drain before one that does.
 func (l *Leadership) first(now time.Time) bool {
 	for _, p := range l.Living(now) {
-		if !p.Draining && p.VM < l.self {
+		if p.Draining == l.draining && p.VM < l.self || !p.Draining && l.draining {
 			return false
 		}
 	}
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -106,7 +106,7 @@
 	return *c, true
 }
 
-// Drain gives up leading, for good.
+// Drain leaves the lead to others, as soon as one can take it.
 func (g *Group) Drain(ctx context.Context) {
 	_ = g.ring.Put(ctx, func(g *Group, _ time.Time) { g.leadership.Drain() })
 }
