Settings are read again on SIGHUP and when the file changes; histograms for each row

Cause: settings that changed without a signal went unnoticed, and the metrics address had no latency histograms, which the users ask for. Ruled out: text counters of our own; package metrics was there.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -21,6 +21,7 @@
 	ShutdownBegun     ID = 104
 	ShutdownEnded     ID = 105
 	ShutdownCutOff    ID = 106
+	Reloaded          ID = 107
 	Fault             ID = 109
 	SettingsRefused   ID = 201
 	FileFault         ID = 202
@@ -67,6 +68,7 @@
 	{ShutdownBegun, zapcore.InfoLevel, "graceful shutdown begun", "No new work is taken; what runs is finished."},
 	{ShutdownEnded, zapcore.InfoLevel, "graceful shutdown ended", "Everything accepted was answered."},
 	{ShutdownCutOff, zapcore.ErrorLevel, "graceful shutdown cut off work", "The limit shutdown_limit passed with work still running; raise it or look for hanging targets."},
+	{Reloaded, zapcore.InfoLevel, "settings reloaded", "The settings file changed, or SIGHUP asked for it to be read again; the seeds in it are in use."},
 	{Fault, zapcore.ErrorLevel, "fault", "Something failed that should not; the field error tells where. Report it."},
 	{SettingsRefused, zapcore.ErrorLevel, "settings refused", "Each fault is logged with its path in the file; mend them and start again."},
 	{FileFault, zapcore.ErrorLevel, "file fault", "A file of the data folder could not be read, written or synced. Check the disk."},
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -67,8 +67,9 @@
 	Counts  Counts
 }
 
-// Counts are totals since the Pool was made, for logs and metrics.
+// Counts are totals since the Pool was made, and what is there now, for metrics.
 type Counts struct {
+	Waiting, Running                              int // tasks, as of the last tick
 	Started, Done, Failed, Lapsed, Lost, Doubtful int
 	Refused                                       map[Refusal]int
 }
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -155,6 +155,22 @@
 	p.expire(now)
 	p.triage(now)
 	p.place(now)
+	p.census()
+}
+
+// census counts the tasks that wait and run.
+func (p *Pool) census() {
+	p.Counts.Waiting, p.Counts.Running = 0, 0
+	for _, j := range p.jobs {
+		for _, t := range j.tasks {
+			switch {
+			case t.placed():
+				p.Counts.Running++
+			case t.phase == waiting:
+				p.Counts.Waiting++
+			}
+		}
+	}
 }
 
 // review looks at one task on w whose time may be over.
--- a/tamarackpin/internal/fleet/asker.go
+++ b/tamarackpin/internal/fleet/asker.go
@@ -30,11 +30,15 @@
 	Knowledge *Knowledge
 	Mesh      *peer.Mesh
 	Log       *zap.Logger
-	Seeds     []vm.ID
 
+	seeds   atomic.Pointer[[]vm.ID]
 	reached atomic.Int64 // Unix nanoseconds of the last answer of any
 }
 
+// SetSeeds says where the settings begin; it is called before Run, and when they
+// change.
+func (a *Asker) SetSeeds(ids []vm.ID) { a.seeds.Store(&ids) }
+
 // Run asks until ctx is done.
 func (a *Asker) Run(ctx context.Context) {
 	var loops sync.WaitGroup
@@ -70,7 +74,10 @@
 }
 
 func (a *Asker) controlVMs() []vm.ID {
-	ids := append([]vm.ID(nil), a.Seeds...)
+	var ids []vm.ID
+	if seeds := a.seeds.Load(); seeds != nil {
+		ids = append(ids, *seeds...)
+	}
 	for _, p := range a.Knowledge.VMs(func(p vm.Present) bool { return p.Control }) {
 		ids = append(ids, p.VM)
 	}
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -34,6 +34,7 @@
 type Gate struct {
 	Group     *group.Group
 	Knowledge *fleet.Knowledge
+	Answered  func(routes.RowName, job.Outcome, time.Duration) // told each answer
 	Log       *zap.Logger
 
 	inHand atomic.Int64
@@ -76,6 +77,7 @@
 	begun := time.Now()
 	a := g.run(ctx, begun, r)
 	a.Job = r.Job.ID
+	g.Answered(r.Row, a.Outcome, time.Since(begun))
 	id := event.JobAnswered
 	if a.Outcome != job.Completed {
 		id = event.JobNotCompleted
--- a/tamarackpin/internal/metrics/metrics.go
+++ b/tamarackpin/internal/metrics/metrics.go
@@ -17,7 +17,9 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"tamarackpin.example/internal/code"
+	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/party"
+	"tamarackpin.example/internal/routes"
 )
 
 // MaxSeries bounds the sets of attributes of one metric. What comes beyond is
@@ -34,6 +36,7 @@
 	provider *sdk.MeterProvider
 	response metric.Float64Histogram
 	service  metric.Float64Histogram
+	job      metric.Float64Histogram
 }
 
 // Gauges are read at each scrape.
@@ -63,6 +66,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "making a histogram")
 	}
+	m.job, err = meter.Float64Histogram("tamarackpin.job.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from a job's arrival to its answer."), metric.WithExplicitBucketBoundaries(boundaries...))
+	if err != nil {
+		return nil, errors.Wrap(err, "making a histogram")
+	}
 	return m, g.register(meter)
 }
 
@@ -101,6 +109,11 @@
 // Request records the reply to a request.
 func (m *Metrics) Request(k party.Key, c code.Code, d time.Duration) { record(m.response, k, c, d) }
 
+// Job records the answer to a job of a row.
+func (m *Metrics) Job(r routes.RowName, o job.Outcome, d time.Duration) {
+	m.job.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("row", string(r)), attribute.String("outcome", string(o))))
+}
+
 // Task records the end of a task on a target.
 func (m *Metrics) Task(k party.Key, c code.Code, d time.Duration) { record(m.service, k, c, d) }
 
--- a/tamarackpin/internal/node/metrics.go
+++ b/tamarackpin/internal/node/metrics.go
@@ -1,21 +1,39 @@
 package node
 
 import (
-	"fmt"
 	"net/http"
+
+	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/tamarackpin/internal/metrics"
 )
 
-// metrics serves the counters as text.
-func (n *Node) metrics() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprintf(w, "tamarackpin_jobs_in_hand %d\n", n.inHand())
-		if n.group == nil {
-			return
-		}
-		c, leads := n.group.Counts()
-		if !leads {
-			return
+// newMetrics returns the metrics of this VM. Those of the dispatcher are 0 where
+// another VM dispatches.
+func (n *Node) newMetrics() (*metrics.Metrics, error) {
+	count := func(of func(pool.Counts) int) func() int64 {
+		return func() int64 {
+			if n.group == nil {
+				return 0
+			}
+			c, _ := n.group.Counts()
+			return int64(of(c))
 		}
-		fmt.Fprintf(w, "tamarackpin_tasks_started %d\ntamarackpin_tasks_done %d\ntamarackpin_tasks_failed %d\n", c.Started, c.Done, c.Failed)
+	}
+	return metrics.New(metrics.Gauges{
+		Waiting: count(func(c pool.Counts) int { return c.Waiting }),
+		Running: count(func(c pool.Counts) int { return c.Running }),
+		InHand:  n.inHand,
+		TableVersion: func() int64 {
+			if t := n.Knowledge.Table(); t != nil {
+				return int64(t.Version)
+			}
+			return 0
+		},
 	})
 }
+
+func (n *Node) metricsHandler() http.Handler {
+	m := http.NewServeMux()
+	m.Handle("GET /metrics", n.metrics.Handler())
+	return m
+}
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -30,6 +30,7 @@
 	"tamarackpin.example/tamarackpin/internal/gate"
 	"tamarackpin.example/tamarackpin/internal/group"
 	"tamarackpin.example/tamarackpin/internal/keeper"
+	"tamarackpin.example/tamarackpin/internal/metrics"
 	"tamarackpin.example/tamarackpin/internal/peer"
 )
 
@@ -56,6 +57,7 @@
 	mesh     *peer.Mesh
 	asker    *fleet.Asker
 	group    *group.Group
+	metrics  *metrics.Metrics
 	draining atomic.Bool // not ready any more
 	refusing atomic.Bool // new jobs are refused
 
@@ -75,17 +77,21 @@
 	n := &Node{settings: s, log: log, adapters: a, fatal: make(chan error, 1), Knowledge: fleet.NewKnowledge(self, log)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.mesh = &peer.Mesh{Self: self.VM, Address: n.address, Recorder: &report.Recorder{}}
-	n.asker = &fleet.Asker{Knowledge: n.Knowledge, Mesh: n.mesh, Log: log, Seeds: s.Founders()}
+	n.asker = &fleet.Asker{Knowledge: n.Knowledge, Mesh: n.mesh, Log: log}
+	n.asker.SetSeeds(s.Founders())
 	n.Knowledge.Serve(&n.mux)
+	var err error
+	if n.metrics, err = n.newMetrics(); err != nil {
+		return nil, err
+	}
 	if self.Callers {
 		n.group = group.New(now, group.Config{
 			Knowledge: n.Knowledge, Asker: n.asker, Mesh: n.mesh, Log: log,
 			LeaseMax: s.LeaseMax.Std(), StopMax: s.StopMax.Std(), Call: a.Order,
 		}, &n.mux)
-		n.Gate = &gate.Gate{Group: n.group, Knowledge: n.Knowledge, Log: log}
+		n.Gate = &gate.Gate{Group: n.group, Knowledge: n.Knowledge, Log: log, Answered: n.metrics.Job}
 	}
 	if self.Control {
-		var err error
 		n.Keeper, err = keeper.New(keeper.Config{Settings: s, Knowledge: n.Knowledge, Mesh: n.mesh, Log: log}, &n.mux)
 		if err != nil {
 			return nil, err
@@ -104,6 +110,13 @@
 	return netip.AddrPortFrom(ip, uint16(n.settings.PeerPort)).String(), true
 }
 
+// Reload takes in settings that changed while the process runs: other seeds. All
+// else is read at the start only.
+func (n *Node) Reload(s *settings.Node) {
+	n.asker.SetSeeds(s.Founders())
+	event.Log(n.log, event.Reloaded, zap.Any("seeds", s.Seeds))
+}
+
 // Ready reports whether this VM should get callers: it has a table, knows who
 // orders the workers and does not drain.
 func (n *Node) Ready() bool {
@@ -128,7 +141,7 @@
 func (n *Node) listen() ([]service, error) {
 	ip := netip.Addr(n.settings.IP).String()
 	at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
-	services := []service{{name: "peers"}, {name: "metrics", server: n.server(n.metrics())}}
+	services := []service{{name: "peers"}, {name: "metrics", server: n.server(n.metricsHandler())}}
 	addresses := []string{at(n.settings.PeerPort), at(n.settings.MetricsPort)}
 	add := func(name string, a settings.Address, handler func(*Node) http.Handler) {
 		if a != "" {
