--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -21,8 +21,8 @@
 }
 
 // deadline returns a time on w's clock, one lease from now.
-func deadline(now time.Time, w *workerState) worker.Clock {
-	return w.timing.Now(now) + worker.Clock(lease)
+func (p *Pool) deadline(now time.Time, w *workerState) worker.Clock {
+	return w.timing.Now(now) + worker.Clock(min(lease, p.config.LeaseMax))
 }
 
 // look keeps one hold on its way to each worker that runs something, looks once
@@ -42,7 +42,7 @@
 	if w.busy() && w.timing.Known() && w.silent == 0 {
 		// A worker that does not answer is not granted more time: what runs there
 		// must lapse before it may start elsewhere.
-		o.Deadline = deadline(now, w)
+		o.Deadline = p.deadline(now, w)
 	}
 	w.holding, w.holdAt = true, now
 	p.send(now, w, o)
@@ -52,7 +52,8 @@
 // task until it does.
 const probeEvery = 150 * time.Millisecond
 
-// held takes in the reply to a hold.
+// held takes in the reply to a hold: ends first, so that a run that is neither
+// listed nor ended is known to be gone.
 func (p *Pool) held(now time.Time, w *workerState, r Reply) {
 	w.holding = false
 	if !r.Done {
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -208,7 +208,7 @@
 	t.percent, t.moved = 0, now
 	t.ordered, t.acked, t.stopped, t.stopAck = now, time.Time{}, time.Time{}, time.Time{}
 	t.assign(w)
-	d := deadline(now, w)
+	d := p.deadline(now, w)
 	t.lapse = w.timing.Lapse(now, d)
 	p.send(now, w, Order{Kind: StartOrder, Task: t.name, Run: t.run, Spec: t.of.Job.Spec, Deadline: d})
 	p.look(now, w)
