--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -76,7 +76,7 @@
 	}
 	n := &Node{settings: s, log: log, adapters: a, fatal: make(chan error, 1), Knowledge: fleet.NewKnowledge(self, log)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.mesh = &peer.Mesh{Self: self.VM, Address: n.address, Recorder: &report.Recorder{}}
+	n.mesh = &peer.Mesh{Self: self.VM, Address: n.address, Recorder: &report.Recorder{}, FailuresToRedial: failuresToRedial}
 	n.asker = &fleet.Asker{Knowledge: n.Knowledge, Mesh: n.mesh, Log: log}
 	n.asker.SetSeeds(s.Founders())
 	n.Knowledge.Serve(&n.mux)
@@ -130,6 +130,10 @@
 // Refusing reports whether new jobs are refused since the process ends.
 func (n *Node) Refusing() bool { return n.refusing.Load() }
 
+// failuresToRedial ends a silent connection within two exchanges of signs of life,
+// before the VM at its other end counts as dead.
+const failuresToRedial = 2
+
 // service is one address with what is served there.
 type service struct {
 	name     string
--- a/tamarackpin/internal/peer/mesh.go
+++ b/tamarackpin/internal/peer/mesh.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -22,8 +23,8 @@
 	redialAfter  = 100 * time.Millisecond // least time between two dials of one entry VM
 	helloTimeout = time.Second
 	// failuresToRedial is how many calls in a row may time out before the
-	// connection is taken for dead.
-	failuresToRedial = 2
+	// connection is taken for dead, unless the Mesh says otherwise.
+	failuresToRedial = 3
 )
 
 // ErrNotSent marks the failure of a call of which no byte left.
@@ -37,6 +38,9 @@
 	Address  func(vm.ID) (address string, known bool)
 	TLS      *tls.Config // nil without TLS
 	Recorder *report.Recorder
+	// FailuresToRedial is how many calls in a row may time out before a
+	// connection is taken for dead; 0 is the standard number.
+	FailuresToRedial int
 
 	mu    sync.Mutex // guards links
 	links map[vm.ID]*link
@@ -48,6 +52,7 @@
 	conn     *jsonrpc2.Conn
 	dialled  time.Time
 	failures int
+	allowed  int // failures in a row
 }
 
 func (m *Mesh) link(to vm.ID) *link {
@@ -58,7 +63,7 @@
 	}
 	l := m.links[to]
 	if l == nil {
-		l = &link{}
+		l = &link{allowed: cmp.Or(m.FailuresToRedial, failuresToRedial)}
 		m.links[to] = l
 	}
 	return l
@@ -195,7 +200,7 @@
 		return
 	}
 	l.failures++
-	if l.failures >= failuresToRedial {
+	if l.failures >= l.allowed {
 		_ = conn.Close()
 		l.conn = nil
 	}
