A ledger's backup takes over only if it does not hear the primary itself

Cause, from the processes' logs of one failed play: the cut healed at 04.544. vm0 and vm2, backups of the cut-off domain, were heard by the quorum's leader; vm1, their primary, up to 90 ms later. The plan made in between (04.579) gave vm1's ledgers to them, and the tasks that vm1 had started were in doubt. The rule that a witness must have been heard recently does not help: it was.

Ruled out: a takeover while the domain was cut off (no assignment changed from 02.0 to 04.57), and the number of timeouts after which a connection is dialled anew (one play failed with every connection alive).

Now each heartbeat names the VMs that its sender does not hear, and is sent at once when that changes. A backup is promoted only if it names the primary, or the primary restarted.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -60,7 +60,7 @@
 	}
 	if p.alive(a.Backup) {
 		delete(p.silent, id)
-		if !p.fresh(now, a.Backup) {
+		if !p.fresh(now, a.Backup) || !p.missing(a.Primary, a.Backup.VM) {
 			return a, false
 		}
 		return advance(a, func(n *ledger.Assignment) {
@@ -175,6 +175,15 @@
 	return slices.ContainsFunc(p.VMs, func(s vm.State) bool { return holder(s) == h && now.Sub(s.Heard) < freshWithin })
 }
 
+// missing reports whether h runs no more or witness does not hear it either. When
+// a cut heals, some of those who were cut off are heard before the others: a
+// backup that has its primary beside it says so.
+func (p *Planner) missing(h ledger.Holder, witness vm.ID) bool {
+	return p.superseded(h) || slices.ContainsFunc(p.VMs, func(s vm.State) bool {
+		return s.Heartbeat.VM == witness && slices.Contains(s.Heartbeat.Silent, h.VM)
+	})
+}
+
 // superseded reports whether a later run of h's VM is alive.
 func (p *Planner) superseded(h ledger.Holder) bool {
 	return slices.ContainsFunc(p.VMs, func(s vm.State) bool {
--- a/internal/vm/heartbeat.go
+++ b/internal/vm/heartbeat.go
@@ -20,6 +20,9 @@
 	ControlIndex  uint64        `json:"control_index"` // of the View that the sender acts on
 	Demand        int           `json:"demand"`        // tasks running or waiting
 	Kinds         []string      `json:"kinds"`         // kinds that targets of the sender's failure domain run
+	// Silent are the entry VMs that the sender does not hear: a witness beside
+	// the receiver's own silence.
+	Silent []ID `json:"silent,omitempty"`
 }
 
 // Check returns an error for a heartbeat that no entry VM sends.
--- a/tamarackpin/internal/member/heartbeat.go
+++ b/tamarackpin/internal/member/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"tamarackpin.example/internal/report"
@@ -16,32 +17,52 @@
 // other of a demand that moved, so that slots follow it.
 const demandEvery = 50 * time.Millisecond
 
-// beatLoop sends heartbeats to one entry VM: at the regular interval, and within
-// the failure domain sooner when the demand here moved.
+// beatLoop sends heartbeats to one entry VM: at the regular interval, and sooner
+// when others fell silent here or, within the failure domain, the demand moved.
 func (m *Member) beatLoop(ctx context.Context, to settings.VM) {
-	if to.FailureDomain != m.config.Self.FailureDomain {
-		every(ctx, vm.HeartbeatEvery, func() { m.beat(ctx, to.VM) })
-		return
-	}
 	var sent time.Time
+	var silent []vm.ID
 	told := 0
 	every(ctx, demandEvery, func() {
-		demand := m.config.Demand()
-		if time.Since(sent) < vm.HeartbeatEvery && !moved(told, demand) {
+		now := time.Now()
+		demand := told
+		if to.FailureDomain == m.config.Self.FailureDomain {
+			demand = m.config.Demand()
+		}
+		missed := m.silent(now)
+		if now.Sub(sent) < vm.HeartbeatEvery && !moved(told, demand) && slices.Equal(silent, missed) {
 			return
 		}
-		sent, told = time.Now(), demand
+		sent, told, silent = now, demand, missed
 		m.beat(ctx, to.VM)
 	})
 }
 
+// silent returns the other entry VMs of the settings that are not heard.
+func (m *Member) silent(now time.Time) []vm.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.silentNow(now)
+}
+
+// silentNow is silent for a caller that holds mu.
+func (m *Member) silentNow(now time.Time) []vm.ID {
+	var ids []vm.ID
+	for _, v := range m.config.VMs {
+		if v.VM != m.config.Self.VM && !m.view.Alive(now, v.VM) {
+			ids = append(ids, v.VM)
+		}
+	}
+	return ids
+}
+
 // moved reports whether a demand differs enough to divide slots anew.
 func moved(before, now int) bool {
 	return 4*max(before-now, now-before) > max(before, now)
 }
 
 // own returns the heartbeat of this entry VM. The caller holds mu.
-func (m *Member) own(withKinds bool) vm.Heartbeat {
+func (m *Member) own(now time.Time, withKinds bool) vm.Heartbeat {
 	m.sequence++
 	h := vm.Heartbeat{
 		VM:            m.config.Self.VM,
@@ -51,6 +72,7 @@
 		Draining:      m.draining,
 		ControlIndex:  m.config.ControlIndex(),
 		Demand:        m.config.Demand(),
+		Silent:        m.silentNow(now),
 	}
 	if !withKinds {
 		return h
@@ -66,7 +88,7 @@
 	now := time.Now()
 	m.mu.Lock()
 	m.beats[to]++
-	h := m.own(m.beats[to]%kindsEvery == 1 || now.Sub(m.kindsSince) < 2*vm.HeartbeatEvery)
+	h := m.own(now, m.beats[to]%kindsEvery == 1 || now.Sub(m.kindsSince) < 2*vm.HeartbeatEvery)
 	m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
--- a/tamarackpin/internal/member/member.go
+++ b/tamarackpin/internal/member/member.go
@@ -129,7 +129,7 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.view.Observe(now, m.own(true))
+	m.view.Observe(now, m.own(now, true))
 	return m.view.Living(now)
 }
 
@@ -173,7 +173,7 @@
 func (m *Member) refresh() {
 	now := time.Now()
 	m.mu.Lock()
-	m.view.Observe(now, m.own(true))
+	m.view.Observe(now, m.own(now, true))
 	m.noteVMs(m.view.Living(now))
 	var live []target.Lease
 	for _, l := range m.book.Live(now) {
