The VM with the most processor dispatches

Ruled out as cause: a broken connection or missing workers; half of the answers were late from the first second on, before any fault.

The settings say what a VM has; it stands in its sign of life, and the strongest of those that live claims. One that comes back does not take the lead from a VM that serves.

Test: lead.TestStrongestLeads.

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -16,7 +16,6 @@
 type sim struct {
 	now    time.Time
 	vms    []*Leadership
-	runs   []vm.Incarnation
 	frozen map[int]bool
 	cut    map[int]bool // from all other VMs, control VMs included
 	claims []Claim
@@ -25,8 +24,7 @@
 func newSim(n int) *sim {
 	s := &sim{now: time.Unix(1_700_000_000, 0), frozen: make(map[int]bool), cut: make(map[int]bool)}
 	for i := range n {
-		s.vms = append(s.vms, New(s.now, id(i), 1))
-		s.runs = append(s.runs, 1)
+		s.vms = append(s.vms, New(s.now, vm.Presence{VM: id(i), Incarnation: 1}))
 	}
 	return s
 }
@@ -34,8 +32,8 @@
 func id(i int) vm.ID { return vm.ID(fmt.Sprint("vm", i)) }
 
 func (s *sim) restart(i int) {
-	s.runs[i]++
-	s.vms[i] = New(s.now, id(i), s.runs[i])
+	self := s.vms[i].self
+	s.vms[i] = New(s.now, vm.Presence{VM: self.VM, Incarnation: self.Incarnation + 1, Processor: self.Processor})
 }
 
 // pass lets time pass.
@@ -61,7 +59,7 @@
 		if i == j || s.frozen[j] || s.cut[i] || s.cut[j] {
 			continue
 		}
-		o.Hear(s.now, id(i), s.runs[i], l.draining)
+		o.Hear(s.now, l.self)
 		o.Learn(id(i), l.Claim())
 	}
 }
@@ -231,3 +229,21 @@
 	s.pass(settleTime + 400*time.Millisecond)
 	s.oneLeader(t, 0, "the first is back")
 }
+
+// TestStrongestLeads: the VM with the most processor, and after it the next; one
+// that comes back does not take the lead from a VM that serves (issue 12).
+func TestStrongestLeads(t *testing.T) {
+	s := newSim(4)
+	for i, p := range []vm.Processor{144, 300, 480, 300} {
+		s.vms[i].self.Processor = p
+	}
+	s.pass(1200 * time.Millisecond)
+	s.oneLeader(t, 2, "after the start")
+	s.frozen[2] = true
+	s.pass(2 * time.Second)
+	s.oneLeader(t, 1, "without the strongest")
+	s.restart(2)
+	s.frozen[2] = false
+	s.pass(2 * time.Second)
+	s.oneLeader(t, 1, "with the strongest restarted")
+}
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -34,38 +34,34 @@
 
 // Peer is what is known of another entry VM of the failure domain.
 type Peer struct {
-	VM          vm.ID
-	Incarnation vm.Incarnation
-	Draining    bool
-	Heard       time.Time // local time of the last sign of life
+	vm.Presence
+	Heard time.Time // local time of the last sign of life
 }
 
 // Leadership is one process's knowledge of who leads. It is not safe for
 // concurrent use. It must be made by [New].
 type Leadership struct {
-	self     vm.ID
-	run      vm.Incarnation
-	begun    time.Time
-	looked   time.Time
-	claim    Claim
-	highest  Fence // ever seen
-	refused  time.Time
-	contact  time.Time // when another VM was last heard or reached
-	draining bool
-	peers    map[vm.ID]Peer
+	self    vm.Presence
+	begun   time.Time
+	looked  time.Time
+	claim   Claim
+	highest Fence // ever seen
+	refused time.Time
+	contact time.Time // when another VM was last heard or reached
+	peers   map[vm.ID]Peer
 }
 
 // New returns the Leadership of a process that starts now.
-func New(now time.Time, self vm.ID, i vm.Incarnation) *Leadership {
-	return &Leadership{self: self, run: i, begun: now, looked: now, contact: now, peers: make(map[vm.ID]Peer)}
+func New(now time.Time, self vm.Presence) *Leadership {
+	return &Leadership{self: self, begun: now, looked: now, contact: now, peers: make(map[vm.ID]Peer)}
 }
 
 // Hear takes in a sign of life of a peer.
-func (l *Leadership) Hear(now time.Time, id vm.ID, i vm.Incarnation, draining bool) {
-	if id == l.self || i < l.peers[id].Incarnation {
+func (l *Leadership) Hear(now time.Time, p vm.Presence) {
+	if p.VM == l.self.VM || p.Incarnation < l.peers[p.VM].Incarnation {
 		return
 	}
-	l.peers[id] = Peer{VM: id, Incarnation: i, Draining: draining, Heard: now}
+	l.peers[p.VM] = Peer{p, now}
 	l.touch(now)
 }
 
@@ -89,18 +85,20 @@
 
 // Drain makes the process leave the lead to those that do not drain. It goes on
 // until one of them claims.
-func (l *Leadership) Drain() { l.draining = true }
+func (l *Leadership) Drain() { l.self.Draining = true }
 
 // Claim returns the newest claim.
 func (l *Leadership) Claim() Claim { return l.claim }
 
 // Leads reports whether this process holds the newest claim.
-func (l *Leadership) Leads() bool { return l.claim.VM == l.self && l.claim.Incarnation == l.run }
+func (l *Leadership) Leads() bool {
+	return l.claim.VM == l.self.VM && l.claim.Incarnation == l.self.Incarnation
+}
 
 // Leader returns the entry VM that leads, if it lives.
 func (l *Leadership) Leader(now time.Time) (vm.ID, bool) {
 	if l.Leads() {
-		return l.self, true
+		return l.self.VM, true
 	}
 	if l.alive(now, l.claim.VM, l.claim.Incarnation) {
 		return l.claim.VM, true
@@ -132,7 +130,7 @@
 		l.claim = Claim{Fence: l.claim.Fence}
 	}
 	leader, led := l.Leader(now)
-	if led && !l.draining && l.peers[leader].Draining {
+	if led && !l.self.Draining && l.peers[leader].Draining {
 		led = false // it goes on until another has taken over
 	}
 	settled := now.Sub(l.begun) >= settleTime && now.Sub(l.refused) >= yieldTime
@@ -140,7 +138,7 @@
 	if led || !settled || !sees || !l.first(now) {
 		return Claim{}, false
 	}
-	l.claim = Claim{Fence: next(now, l.self, l.highest), VM: l.self, Incarnation: l.run}
+	l.claim = Claim{Fence: next(now, l.self.VM, l.highest), VM: l.self.VM, Incarnation: l.self.Incarnation}
 	l.highest = l.claim.Fence
 	return l.claim, true
 }
@@ -167,17 +165,28 @@
 	return false
 }
 
-// first reports whether this process comes first among those that live: one that
-// does not drain before one that does.
+// first reports whether this process comes first among those that live.
 func (l *Leadership) first(now time.Time) bool {
 	for _, p := range l.Living(now) {
-		if p.Draining == l.draining && p.VM < l.self || !p.Draining && l.draining {
+		if before(p.Presence, l.self) {
 			return false
 		}
 	}
 	return true
 }
 
+// before reports whether a should lead rather than b: one that does not drain, then
+// the one with more of the processor, which a dispatcher needs most of.
+func before(a, b vm.Presence) bool {
+	if a.Draining != b.Draining {
+		return b.Draining
+	}
+	if a.Processor != b.Processor {
+		return a.Processor > b.Processor
+	}
+	return a.VM < b.VM
+}
+
 // Living returns the peers that live, in the order of their ids.
 func (l *Leadership) Living(now time.Time) []Peer {
 	var living []Peer
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -24,6 +24,7 @@
 	LeaseMax      wire.Duration    `json:"lease_max" min:"100ms" max:"1m" doc:"Longest time for which a worker lets tasks run without a word."`
 	StopMax       wire.Duration    `json:"stop_max" min:"0s" max:"10s" doc:"Longest time that a worker takes to stop a task."`
 	ShutdownLimit wire.Duration    `json:"shutdown_limit" min:"1s" max:"10m" doc:"How long a graceful shutdown may take before the process is killed."`
+	Processor     vm.Processor     `json:"processor" optional:"true" doc:"Cores that this VM has: in each failure domain the VM with the most dispatches."`
 	LogLevel      LogLevel         `json:"log_level" default:"info" doc:"Least level that is logged: debug, info, warn or error."`
 }
 
--- a/internal/vm/presence.go
+++ b/internal/vm/presence.go
@@ -31,6 +31,7 @@
 	Callers       bool          `json:"callers,omitempty"` // it takes callers' work
 	Control       bool          `json:"control,omitempty"` // it is to be a member of the control quorum
 	Draining      bool          `json:"draining,omitempty"`
+	Processor     Processor     `json:"processor,omitempty"` // 0 if its settings do not say
 }
 
 // RosterCursor counts the news of one Roster.
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -114,7 +114,7 @@
 	now := time.Now()
 	g.config.Knowledge.Meet(now, s.Self, 0)
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) {
-		g.leadership.Hear(now, s.Self.VM, s.Self.Incarnation, s.Self.Draining)
+		g.leadership.Hear(now, s.Self)
 		g.leadership.Learn(s.Self.VM, s.Claim)
 	})
 	t := g.config.Knowledge.Table()
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -83,7 +83,7 @@
 	self := c.Knowledge.Self()
 	g := &Group{
 		config: c, self: self, change: make(chan struct{}), ring: ring.New[command](ringSize),
-		leadership: lead.New(now, self.VM, self.Incarnation), waiters: make(map[job.ID][]waiter), pings: make(map[vm.ID]time.Time),
+		leadership: lead.New(now, self), waiters: make(map[job.ID][]waiter), pings: make(map[vm.ID]time.Time),
 	}
 	g.leader.Store(&Leader{})
 	g.serve(x)
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -72,7 +72,7 @@
 	now := time.Now()
 	self := vm.Presence{
 		VM: s.ID(), FailureDomain: s.FailureDomain, Incarnation: vm.Incarnation(now.UnixMilli()),
-		Callers: s.Callers != "", Control: s.Control != "",
+		Callers: s.Callers != "", Control: s.Control != "", Processor: s.Processor,
 	}
 	n := &Node{settings: s, log: log, adapters: a, fatal: make(chan error, 1), Knowledge: fleet.NewKnowledge(self, log)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
