--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -17,6 +17,7 @@
 	Readiness     Address          `json:"readiness" optional:"true" doc:"Where the balancer asks whether this VM is ready."`
 	Control       Address          `json:"control" optional:"true" doc:"Where workers and operators are served; a VM with it is a member of the control quorum."`
 	PeerPort      int              `json:"peer_port" min:"1" max:"65535" doc:"Port for the other VMs, the same on all."`
+	PeerListen    Address          `json:"peer_listen" optional:"true" doc:"Where the other VMs are served, if a relay passes on what arrives at ip and peer_port."`
 	MetricsPort   int              `json:"metrics_port" min:"1" max:"65535" doc:"Port where metrics are served."`
 	Seeds         []Address        `json:"seeds" doc:"Addresses of some control VMs."`
 	FirstStart    bool             `json:"first_start" default:"false" doc:"Whether the deployment starts for the first time, with empty disks: the seeds then found the control quorum."`
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -8,6 +8,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -145,7 +146,7 @@
 	ip := netip.Addr(n.settings.IP).String()
 	at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 	services := []service{{name: "peers"}, {name: "metrics", server: n.server(n.metricsHandler())}}
-	addresses := []string{at(n.settings.PeerPort), at(n.settings.MetricsPort)}
+	addresses := []string{cmp.Or(string(n.settings.PeerListen), at(n.settings.PeerPort)), at(n.settings.MetricsPort)}
 	add := func(name string, a settings.Address, handler func(*Node) http.Handler) {
 		if a != "" {
 			services = append(services, service{name: name, server: n.server(handler(n))})
