--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/routes"
@@ -77,7 +78,7 @@
 	}
 	n := &Node{settings: s, log: log, adapters: a, fatal: make(chan error, 1), Knowledge: fleet.NewKnowledge(self, log)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.mesh = &peer.Mesh{Self: self.VM, Address: n.address, Recorder: &report.Recorder{}, FailuresToRedial: failuresToRedial}
+	n.mesh = &peer.Mesh{Self: self.VM, Address: n.address, Recorder: &report.Recorder{}, FailuresToRedial: failuresToRedial, WriteTimeout: writeTimeout}
 	n.asker = &fleet.Asker{Knowledge: n.Knowledge, Mesh: n.mesh, Log: log}
 	n.asker.SetSeeds(s.Founders())
 	n.Knowledge.Serve(&n.mux)
@@ -134,6 +135,10 @@
 // before the VM at its other end counts as dead.
 const failuresToRedial = 2
 
+// writeTimeout ends a connection that takes nothing for as long as a VM that leads
+// may be silent: jobs on their way to it go to the next one then.
+const writeTimeout = lead.DeadAfter
+
 // service is one address with what is served there.
 type service struct {
 	name     string
--- a/tamarackpin/internal/peer/mesh.go
+++ b/tamarackpin/internal/peer/mesh.go
@@ -41,6 +41,9 @@
 	// FailuresToRedial is how many calls in a row may time out before a
 	// connection is taken for dead; 0 is the standard number.
 	FailuresToRedial int
+	// WriteTimeout is how long a connection may take nothing before it is taken for
+	// dead; 0 is the standard time. A call that waits for it outlives its context.
+	WriteTimeout time.Duration
 
 	mu    sync.Mutex // guards links
 	links map[vm.ID]*link
@@ -155,7 +158,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connecting to entry VM %s", to)
 	}
-	conn := open(context.Background(), c, silent{})
+	conn := open(context.Background(), c, cmp.Or(m.WriteTimeout, writeTimeout), silent{})
 	helloCtx, cancelHello := context.WithTimeout(ctx, helloTimeout)
 	defer cancelHello()
 	if err := conn.Call(helloCtx, string(methodHello), hello{ProtocolVersion, m.Self, to}, nil); err != nil {
--- a/tamarackpin/internal/peer/peer_test.go
+++ b/tamarackpin/internal/peer/peer_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 
 	"tamarackpin.example/internal/code"
@@ -99,6 +101,71 @@
 	}
 }
 
+// TestPeerThatDoesNotRead: calls to a VM whose process is frozen fill the
+// connection, and must give up soon after their time all the same; calls to others
+// go on (issue 10).
+func TestPeerThatDoesNotRead(t *testing.T) {
+	const patience, writeTime = 250 * time.Millisecond, 700 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{}), stuck{}, jsonrpc2.SetLogger(discard{}))
+			defer conn.Close()
+		}
+	}()
+	m := serveEcho(t, "vm0")
+	m.WriteTimeout, m.FailuresToRedial = writeTime, 1000 // no other rule ends the connection
+	healthy := m.Address
+	m.Address = func(id vm.ID) (string, bool) {
+		if id == "vm2" {
+			return l.Addr().String(), true
+		}
+		return healthy(id)
+	}
+	large := echoed{[]string{strings.Repeat("x", 256<<10)}}
+	var calls sync.WaitGroup
+	for range 40 {
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			begun := time.Now()
+			_, err := Call[echoed](ctx, m, "vm2", report.UseOther, "echo", large)
+			if took := time.Since(begun); err == nil || took > patience+writeTime+200*time.Millisecond {
+				t.Errorf("a call that was given %s returned after %s: %v", patience, took, err)
+			}
+		})
+	}
+	for range 20 {
+		begun := time.Now()
+		if _, err := Call[echoed](context.Background(), m, "vm1", report.UseOther, "echo", echoed{[]string{"a"}}); err != nil || time.Since(begun) > patience {
+			t.Errorf("a call to another VM took %s: %v", time.Since(begun), err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	calls.Wait()
+}
+
+// stuck answers the hello and then stops reading.
+type stuck struct{}
+
+// Handle answers the first call and blocks the reader with the next.
+func (stuck) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if Method(r.Method) == methodHello {
+		_ = c.Reply(ctx, r.ID, empty{})
+		return
+	}
+	<-c.DisconnectNotify()
+}
+
 // BenchmarkCall measures one call with parts of 32 bytes, one after the other
 // and from 32 goroutines at once.
 func BenchmarkCall(b *testing.B) {
--- a/tamarackpin/internal/peer/server.go
+++ b/tamarackpin/internal/peer/server.go
@@ -60,7 +60,7 @@
 func (s *Server) start(ctx context.Context, c net.Conn) {
 	session := &session{server: s}
 	gone := make(chan struct{})
-	conn := open(context.WithValue(ctx, disconnected{}, gone), c, session)
+	conn := open(context.WithValue(ctx, disconnected{}, gone), c, writeTimeout, session)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
@@ -159,11 +159,11 @@
 }
 
 // open starts JSON-RPC on c.
-func open(ctx context.Context, c net.Conn, h jsonrpc2.Handler) *jsonrpc2.Conn {
+func open(ctx context.Context, c net.Conn, write time.Duration, h jsonrpc2.Handler) *jsonrpc2.Conn {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: keepAliveProbes})
 	}
-	stream := jsonrpc2.NewBufferedStream(&timedConn{c}, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(&timedConn{c, write}, jsonrpc2.VarintObjectCodec{})
 	return jsonrpc2.NewConn(ctx, stream, h, jsonrpc2.SetLogger(discard{}))
 }
 
@@ -171,11 +171,12 @@
 // up its writers for good.
 type timedConn struct {
 	net.Conn
+	timeout time.Duration
 }
 
-// Write writes b within writeTimeout.
+// Write writes b within the timeout.
 func (c *timedConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(b)
