Placing looks only at workers with room, and nothing is sorted without any

Cause: at load each reply of a worker sorted all jobs that wait and looked at every worker for each of their tasks; a tick did the same again, with a forecast. Ruled out: the forecast alone (a third of a tick).

--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -2,22 +2,62 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
-// place starts what waits, the most pressing first, as long as there is room.
+// place starts what waits, the most pressing first, as long as there is room. Most
+// events make no room: then nothing is sorted.
 func (p *Pool) place(now time.Time) {
-	if p.fenced {
+	if p.fenced || len(p.jobs) == 0 {
+		return
+	}
+	open := p.openWorkers(now)
+	if len(open) == 0 {
 		return
 	}
 	for _, j := range p.queue(now) {
-		if !p.placeJob(now, j) {
+		if !p.placeJob(now, open, j) {
 			return
 		}
 	}
 }
 
+// openWorkers returns the workers that may have room for a task that waits.
+func (p *Pool) openWorkers(now time.Time) []*workerState {
+	least := p.leastNeed()
+	if least == noNeed {
+		return nil
+	}
+	var open []*workerState
+	for _, w := range p.byID {
+		if w.free.MilliCores >= least && len(w.alien) == 0 && w.timing.Known() && w.sound(now) {
+			open = append(open, w)
+		}
+	}
+	return open
+}
+
+// noNeed is more than any task needs.
+const noNeed = math.MaxInt
+
+// leastNeed returns the fewest thousandths of a core that a task which waits needs.
+func (p *Pool) leastNeed() int {
+	least := noNeed
+	for _, j := range p.jobs {
+		if j.ended {
+			continue
+		}
+		for _, t := range j.tasks {
+			if t.phase == waiting && t.step.Need.MilliCores < least {
+				least = t.step.Need.MilliCores
+			}
+		}
+	}
+	return least
+}
+
 // queue returns the jobs with tasks that may start, in the order in which they
 // are served: first those that can still meet their objective, by it; then
 // those that are late.
@@ -79,12 +119,12 @@
 
 // placeJob starts the tasks of j that fit, and reports whether there may be room
 // for others.
-func (p *Pool) placeJob(now time.Time, j *jobState) bool {
+func (p *Pool) placeJob(now time.Time, open []*workerState, j *jobState) bool {
 	for _, t := range j.tasks {
 		if t.phase != waiting || !j.open(t.step) {
 			continue
 		}
-		w := p.pick(now, t)
+		w := p.pick(now, open, t)
 		if w == nil {
 			return true // another task may be smaller
 		}
@@ -96,13 +136,13 @@
 // pick returns the worker for t: the slowest on which it meets the objective, so
 // that the fast ones are free for those that need them; else the fastest. It
 // returns none as long as waiting for a faster worker may still meet it.
-func (p *Pool) pick(now time.Time, t *task) *workerState {
+func (p *Pool) pick(now time.Time, open []*workerState, t *task) *workerState {
 	work := p.learn.Work(t.of.Row, t.step)
 	var best *workerState
 	var bestTime time.Duration
 	bestMeets := false
-	for _, w := range p.byID {
-		if !p.usable(now, w, t) {
+	for _, w := range open {
+		if !usable(w, t) {
 			continue
 		}
 		factor := p.learn.Factor(w.Kind, w.Worker)
@@ -177,9 +217,9 @@
 	return w.Worker < best.Worker
 }
 
-// usable reports whether t may start on w now.
-func (p *Pool) usable(now time.Time, w *workerState, t *task) bool {
-	if w.Service != t.of.Service || !w.sound(now) || len(w.alien) > 0 || !w.timing.Known() {
+// usable reports whether t may start on w, which is open.
+func usable(w *workerState, t *task) bool {
+	if w.Service != t.of.Service {
 		return false
 	}
 	if !w.free.Fits(t.step.Need) || t.failed > 0 && (w.Worker == t.failedOn || w.failures > 0) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -67,6 +67,7 @@
 
 	orders  []Order
 	answers []Answer
+	triaged time.Time
 	fenced  bool // a worker refused the fence: nothing more is ordered
 	Counts  Counts
 }
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -156,11 +156,17 @@
 		p.look(now, w)
 	}
 	p.expire(now)
-	p.triage(now)
+	if now.Sub(p.triaged) >= triageEvery {
+		p.triage(now)
+	}
 	p.place(now)
 	p.census()
 }
 
+// triageEvery is how often the jobs that wait are looked at without an event: less
+// than the least that an objective allows for the platform's own time (60 ms).
+const triageEvery = 50 * time.Millisecond
+
 // census counts the tasks that wait and run.
 func (p *Pool) census() {
 	p.Counts.Waiting, p.Counts.Running = 0, 0
--- a/internal/pool/triage.go
+++ b/internal/pool/triage.go
@@ -87,6 +87,7 @@
 // triage decides which jobs that wait can still meet their objective, given all
 // that is ahead of them, and refuses those that cannot be of use any more.
 func (p *Pool) triage(now time.Time) {
+	p.triaged = now
 	queue := p.waitingJobs()
 	if len(queue) == 0 {
 		return
@@ -97,16 +98,17 @@
 		return
 	}
 	var late []*jobState
+	before := make(forecast, len(f))
 	for _, j := range queue {
 		if j.late = j.rank(now) > 0; j.late {
 			late = append(late, j)
 			continue
 		}
-		before := slices.Clone(f)
+		copy(before, f)
 		if end := f.run(p, j); end.After(j.due.Add(triageSlack)) {
 			j.late = true
 			late = append(late, j)
-			f = before
+			copy(f, before)
 		}
 	}
 	for _, j := range late {
@@ -118,10 +120,10 @@
 			p.answer(now, j, Answer{Outcome: job.NotRun, Reason: "it would be late in this group", RetryAfter: minRetryAfter, Elsewhere: true})
 			continue
 		}
-		before := slices.Clone(f)
+		copy(before, f)
 		end, limit := f.run(p, j), j.useless()
 		if end.After(limit.Add(triageSlack)) {
-			f = before
+			copy(f, before)
 			p.answer(now, j, Answer{
 				Outcome: job.NotRun, Reason: "the work ahead takes longer than the job is of use",
 				RetryAfter: max(minRetryAfter, end.Sub(limit)),
