Control VMs remember how workers were divided

Ruled out: the table and the quorum (in force 1 s after the start).

The newest division of a failure domain travels with the questions and answers between entry and control VMs, which keep it in a file. Of two the higher epoch counts, so it is a hint that needs no majority; without any, VMs find out as before.

Test: fleet.TestDivisionOutlivesARestartOfAll.

--- a/tamarackpin/internal/fleet/asker.go
+++ b/tamarackpin/internal/fleet/asker.go
@@ -107,6 +107,7 @@
 	for ctx.Err() == nil && a.known(id) {
 		q.Self = a.Knowledge.Self()
 		q.Reports = a.Knowledge.ownReports()
+		q.Division = a.Knowledge.Division(q.Self.FailureDomain)
 		q.Wait = wire.Duration(a.wait())
 		q.Version = 0
 		if t := a.Knowledge.Table(); t != nil {
@@ -159,6 +160,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askSlack)
 	defer cancel()
 	q := question{Self: a.Knowledge.Self()}
+	q.Division = a.Knowledge.Division(q.Self.FailureDomain)
 	if t := a.Knowledge.Table(); t != nil {
 		q.Version = t.Version
 	}
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -32,7 +32,9 @@
 	book    worker.Book
 	own     []pool.Report // of the groups that this VM orders
 	reports map[groupKey]heardReport
-	news    chan struct{} // closed and replaced with each piece of news
+	// divisions of the own failure domain, on a control VM of all.
+	divisions divisions
+	news      chan struct{} // closed and replaced with each piece of news
 }
 
 // NewKnowledge returns what a VM knows at its start.
--- a/tamarackpin/internal/fleet/knowledge_test.go
+++ b/tamarackpin/internal/fleet/knowledge_test.go
@@ -1,11 +1,15 @@
 package fleet
 
 import (
+	"context"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
@@ -85,3 +89,46 @@
 		t.Errorf("an old report counts: %+v", r)
 	}
 }
+
+// TestDivisionOutlivesARestartOfAll: a control VM that starts with its disk tells
+// how the workers of each failure domain were divided (issue 12).
+func TestDivisionOutlivesARestartOfAll(t *testing.T) {
+	now := time.Unix(1000, 0)
+	path := filepath.Join(t.TempDir(), "divisions.json")
+	ctx, stop := context.WithCancel(t.Context())
+	control := knowledge("ip-01", "a")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		control.Remember(ctx, path)
+	}()
+	entry := knowledge("ip-02", "b")
+	entry.Divide("b", lead.Division{Epoch: 7, Groups: 4})
+	control.answer(canceled(), question{Self: entry.Self(), Division: entry.Division("b")})
+	for begun := time.Now(); time.Since(begun) < 10*rememberEvery; time.Sleep(20 * time.Millisecond) {
+		if _, err := os.Stat(path); err == nil {
+			break
+		}
+	}
+	stop()
+	<-done
+
+	again := knowledge("ip-01", "a")
+	again.recall(path)
+	fresh := knowledge("ip-02", "b")
+	n, pressing := again.since(now, question{Self: fresh.Self()})
+	fresh.absorb(now, n)
+	if d := fresh.Division("b"); !pressing || d.Epoch != 7 || d.Groups != 4 {
+		t.Errorf("the VM that starts learns %+v, at once: %v", d, pressing)
+	}
+	fresh.Divide("b", lead.Division{Epoch: 6, Groups: 2})
+	if d := fresh.Division("b"); d.Epoch != 7 {
+		t.Errorf("an older division counts: %+v", d)
+	}
+}
+
+func canceled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
@@ -26,7 +27,9 @@
 	VMs     vm.RosterCursor `json:"vms,omitempty"` // news up to here is known
 	Workers worker.Cursor   `json:"workers,omitempty"`
 	Reports []pool.Report   `json:"reports,omitempty"` // of the groups that the sender orders
-	Wait    wire.Duration   `json:"wait,omitempty"`    // keep the question so long unless there is news
+	// Division is that of the workers of the sender's failure domain.
+	Division lead.Division `json:"division,omitzero"`
+	Wait     wire.Duration `json:"wait,omitempty"` // keep the question so long unless there is news
 }
 
 // news answers a question.
@@ -38,6 +41,8 @@
 	Workers     []agedWorker    `json:"workers,omitempty"`
 	WorkerCount worker.Cursor   `json:"worker_cursor"`
 	Reports     []agedReport    `json:"reports,omitempty"` // of the other groups
+	// Division is that of the workers of the failure domain of the VM that asked.
+	Division lead.Division `json:"division,omitzero"`
 }
 
 type agedReport struct {
@@ -71,6 +76,7 @@
 // answer waits for news that q does not know of.
 func (k *Knowledge) answer(ctx context.Context, q question) news {
 	k.Meet(time.Now(), q.Self, 0)
+	k.Divide(q.Self.FailureDomain, q.Division)
 	k.mu.Lock()
 	for _, r := range q.Reports {
 		k.hearReport(time.Now(), r)
@@ -104,6 +110,9 @@
 	if t := k.table.Load(); t != nil && t.Version > q.Version {
 		n.Table, pressing = t, true
 	}
+	if d := k.divisions[q.Self.FailureDomain]; d.Epoch > q.Division.Epoch {
+		n.Division, pressing = d, true
+	}
 	for p := range k.roster.All {
 		if p.Since > q.VMs && p.VM != q.Self.VM {
 			n.VMs = append(n.VMs, agedVM{p.Presence, wire.Duration(max(0, now.Sub(p.Heard))).Round()})
@@ -142,5 +151,6 @@
 		k.hearReport(now.Add(-r.Age.Std()), r.Report)
 	}
 	k.mu.Unlock()
+	k.Divide(k.Self().FailureDomain, n.Division)
 	k.Adopt(n.Table, n.Self.VM)
 }
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -151,6 +151,9 @@
 }
 
 func (g *Group) tick(now time.Time) {
+	if d := g.config.Knowledge.Division(g.self.FailureDomain); d.Epoch > g.division.Epoch {
+		g.divide(now, d) // as a control VM remembers it
+	}
 	g.claim(now)
 	if now.Sub(g.told) >= workersEvery {
 		g.told = now
@@ -215,6 +218,7 @@
 		g.parts = append(g.parts, newPart(first.Divided(d.Epoch)))
 	}
 	g.division, g.divided, g.divider = d, now, lead.Divider{}
+	g.config.Knowledge.Divide(g.self.FailureDomain, d)
 }
 
 // tellWorkers tells the pools what is new of their workers, and others what room
--- a/tamarackpin/internal/node/run.go
+++ b/tamarackpin/internal/node/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,9 @@
 	inHandEvery = 20 * time.Millisecond
 )
 
+// divisionsFile is where a control VM remembers how workers are divided.
+const divisionsFile = "divisions.json"
+
 // ErrCutOff is returned by Run when the limit of a graceful shutdown passed
 // with jobs not answered.
 var ErrCutOff = errors.New("the graceful shutdown cut off work")
@@ -54,6 +58,7 @@
 		n.duties.Go(func() { n.group.Run(n.ctx) })
 	}
 	if n.Keeper != nil {
+		n.duties.Go(func() { n.Knowledge.Remember(n.ctx, filepath.Join(n.settings.DataFolder, divisionsFile)) })
 		n.duties.Go(func() {
 			if err := n.Keeper.Run(n.ctx); err != nil {
 				n.fail(errors.Wrap(err, "keeping the table"))
