--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -270,3 +270,22 @@
 	}
 	s.oneLeader(t, 2, "after the loss")
 }
+
+// TestClockBehindTheLastLeader: everything restarts, and the VM that leads next has
+// a clock 12 s behind that of the one before, whose fences the workers know. Its
+// second claim is above them (issue 12, clocks that jump).
+func TestClockBehindTheLastLeader(t *testing.T) {
+	s := newSim(2)
+	known := next(s.now.Add(12*time.Second), "other", 0)
+	for tries := 0; ; tries++ {
+		s.pass(yieldTime + settleTime + 200*time.Millisecond)
+		c := s.vms[0].Claim()
+		if c.Fence > known {
+			return
+		}
+		if tries > 1 {
+			t.Fatalf("after %d claims, fence %d is not above %d", tries, c.Fence, known)
+		}
+		s.vms[0].Refused(s.now, c.Fence)
+	}
+}
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -28,6 +28,10 @@
 	// yieldTime is how long a process that a worker refused waits to hear of
 	// the claim that it lost to.
 	yieldTime = time.Second
+	// aheadStep is how far above a fence that was refused the next one is drawn, if
+	// nobody is heard of who holds a higher one: the clock of a VM that led before
+	// everything restarted was ahead, by twice the skew that the platform allows.
+	aheadStep = Fence(12*time.Second/fenceUnit) << fenceVMBits
 	// isolatedAfter is how long a process that leads may hear nobody before it
 	// gives up, if others may have taken its place: with a lease that is less
 	// than they wait before they start what it may run (DeadAfter and the
@@ -116,6 +120,7 @@
 	if l.claim.Fence == f && l.Leads() {
 		l.claim = Claim{Fence: f}
 		l.refused = now
+		l.highest = max(l.highest, f+aheadStep)
 	}
 }
 
