A fresh dispatcher asks a neighbour for the workers, or waits for unknown ones

A control VM had restarted too, so the workers that announced themselves to that one were not known to the fresh VM, every known worker was looked at, and jobs that were handed over started at once, though they ran on an unknown one. Ruled out: the division (one group there).

A fresh process asks the first VM of its failure domain that ran before it for all that it knows; until one has answered, for two and a half heartbeats, jobs that may run somewhere wait out the old leases (pool.TestHandedOverJobWaitsForUnknownWorkers).

One large call fills the connection now; bounds unchanged.

--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -109,6 +109,9 @@
 	if !now.Before(j.settle) {
 		return true
 	}
+	if p.config.Partial {
+		return false // it may run on a worker that is not known
+	}
 	for _, w := range p.byID {
 		if !w.listed && !w.Gone {
 			return false
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -29,6 +29,9 @@
 	// Divided is when the workers of the failure domain were divided anew, if
 	// they were: what ran then may run on workers of other groups.
 	Divided time.Time
+	// Partial says that there may be workers that are not known yet: the process
+	// started a moment ago.
+	Partial bool
 }
 
 // Times of a Pool.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -332,3 +332,22 @@
 		t.Errorf("the task counts as gone %s after the worker fell silent", waited)
 	}
 }
+
+// TestHandedOverJobWaitsForUnknownWorkers: a dispatcher whose process started a
+// moment ago may not know the worker on which a job that was handed over runs, since
+// the control VM that it announced itself to started again too (issue 10; hunt-b8ec-3
+// of bunkerline).
+func TestHandedOverJobWaitsForUnknownWorkers(t *testing.T) {
+	b := newBench(t, 2)
+	b.pool.config.Partial = true
+	r := request("handed", 1, 200*time.Millisecond)
+	r.MayRun = true
+	b.pool.Submit(b.now, r)
+	if list := b.orders(StartOrder); len(list) > 0 {
+		t.Errorf("started at once: %+v", list)
+	}
+	b.pass(settleTime + 20*time.Millisecond)
+	if list := b.orders(StartOrder); len(list) != 1 {
+		t.Errorf("not started after %s: %+v", settleTime, list)
+	}
+}
--- a/tamarackpin/internal/fleet/asker.go
+++ b/tamarackpin/internal/fleet/asker.go
@@ -156,7 +156,8 @@
 
 // Catch asks another VM once for all that it knows: a process that starts while
 // no control VM can be reached learns table and workers from its neighbours.
-func (a *Asker) Catch(ctx context.Context, from vm.ID) {
+// It reports whether that VM answered.
+func (a *Asker) Catch(ctx context.Context, from vm.ID) bool {
 	ctx, cancel := context.WithTimeout(ctx, askSlack)
 	defer cancel()
 	q := question{Self: a.Knowledge.Self()}
@@ -167,7 +168,8 @@
 	n, err := peer.Call[news](ctx, a.Mesh, from, report.UseControl, methodKnown, q)
 	if err != nil {
 		a.Log.Debug("asking a neighbour failed", zap.String("vm", string(from)), event.Err(err))
-		return
+		return false
 	}
 	a.Knowledge.absorb(time.Now(), n)
+	return true
 }
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -146,8 +146,9 @@
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.take(now, s) })
 	t := g.config.Knowledge.Table()
 	behind := s.Version > 0 && (t == nil || t.Version < s.Version)
-	if behind || !g.config.Knowledge.KnowsWorkers() {
-		g.config.Asker.Catch(ctx, s.Self.VM)
+	first := !g.caught.Load() && s.Self.Incarnation < g.self.Incarnation
+	if (behind || first) && g.config.Asker.Catch(ctx, s.Self.VM) && first {
+		g.caught.Store(true)
 	}
 }
 
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -21,6 +21,7 @@
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/ring"
 	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/internal/worker"
 	"tamarackpin.example/tamarackpin/internal/fleet"
 	"tamarackpin.example/tamarackpin/internal/peer"
 )
@@ -63,6 +64,11 @@
 	pingMu sync.Mutex // guards pings
 	pings  map[vm.ID]time.Time
 
+	// begun is when the process started; caught is set once a VM that has run for
+	// longer told it what it knows.
+	begun  time.Time
+	caught atomic.Bool
+
 	exchangeMu sync.Mutex // guards exchanged
 	exchanged  map[vm.ID]time.Time
 
@@ -82,7 +88,7 @@
 func New(now time.Time, c Config, x *peer.Mux) *Group {
 	self := c.Knowledge.Self()
 	g := &Group{
-		config: c, self: self, change: make(chan struct{}), ring: ring.New[command](ringSize),
+		config: c, self: self, begun: now, change: make(chan struct{}), ring: ring.New[command](ringSize),
 		parts: []*part{newPart(lead.New(now, self))}, pings: make(map[vm.ID]time.Time), exchanged: make(map[vm.ID]time.Time),
 	}
 	g.directory.Store(&directory{leaders: make([]Leader, 1)})
@@ -183,7 +189,7 @@
 		if claim, claimed := p.leadership.Tick(now, reaches, others); claimed {
 			event.Log(g.config.Log, event.LeadTaken, zap.Int("group", i), zap.Int64("fence", int64(claim.Fence)), zap.Int("living", len(p.leadership.Living(now))))
 			p.dropPool()
-			p.pool = pool.New(now, pool.Config{Fence: claim.Fence, LeaseMax: g.config.LeaseMax, StopMax: g.config.StopMax, Divided: g.divided})
+			p.pool = pool.New(now, pool.Config{Fence: claim.Fence, LeaseMax: g.config.LeaseMax, StopMax: g.config.StopMax, Divided: g.divided, Partial: g.partial(now)})
 			p.cursor, g.told = 0, time.Time{}
 		}
 		if vacant {
@@ -192,6 +198,12 @@
 	}
 }
 
+// partial reports whether there may be workers that this process has not heard of:
+// each tells one control VM of itself, which may have started again as well.
+func (g *Group) partial(now time.Time) bool {
+	return !g.caught.Load() && now.Sub(g.begun) < worker.SilentAfter
+}
+
 // redivide divides the workers anew if they are too many or too few for the
 // groups. The leader of the first group decides, when it reaches all others.
 func (g *Group) redivide(now time.Time) {
--- a/tamarackpin/internal/peer/peer_test.go
+++ b/tamarackpin/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -106,7 +107,10 @@
 // go on (issue 10).
 func TestPeerThatDoesNotRead(t *testing.T) {
 	const patience, writeTime = 250 * time.Millisecond, 700 * time.Millisecond
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	l, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -131,14 +135,19 @@
 		}
 		return healthy(id)
 	}
-	large := echoed{[]string{strings.Repeat("x", 256<<10)}}
 	var calls sync.WaitGroup
-	for range 40 {
+	calls.Go(func() { // it does not fit, and holds up the others
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, _ = Call[echoed](ctx, m, "vm2", report.UseOther, "echo", echoed{[]string{strings.Repeat("x", 8<<20)}})
+	})
+	time.Sleep(300 * time.Millisecond)
+	for range 20 {
 		calls.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
 			begun := time.Now()
-			_, err := Call[echoed](ctx, m, "vm2", report.UseOther, "echo", large)
+			_, err := Call[echoed](ctx, m, "vm2", report.UseOther, "echo", echoed{[]string{"a"}})
 			if took := time.Since(begun); err == nil || took > patience+writeTime+200*time.Millisecond {
 				t.Errorf("a call that was given %s returned after %s: %v", patience, took, err)
 			}
