A VM is told of all workers only by one that knows them all

Signs of life say whether their sender may lack workers. Ruled out as simpler: waiting 1.5 s after every takeover, which callers would feel at each.

group.TestFreshVMAsksOneThatKnowsAllWorkers fails without the condition.

--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -34,11 +34,12 @@
 	Division lead.Division  `json:"division"`
 	Claims   []lead.Claim   `json:"claims"` // the newest that the sender knows, for each group
 	Version  routes.Version `json:"version"`
+	Partial  bool           `json:"partial,omitempty"` // there may be workers that the sender has not heard of
 }
 
 func (g *Group) sign() sign {
 	d := g.directory.Load()
-	s := sign{Self: g.config.Knowledge.Self(), Division: d.division}
+	s := sign{Self: g.config.Knowledge.Self(), Division: d.division, Partial: g.partial(time.Now())}
 	for _, l := range d.leaders {
 		s.Claims = append(s.Claims, l.Claim)
 	}
@@ -146,8 +147,11 @@
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.take(now, s) })
 	t := g.config.Knowledge.Table()
 	behind := s.Version > 0 && (t == nil || t.Version < s.Version)
-	first := !g.caught.Load() && s.Self.Incarnation < g.self.Incarnation
-	if (behind || first) && g.config.Asker.Catch(ctx, s.Self.VM) && first {
+	completes := g.partial(now) && !s.Partial
+	if !behind && !completes && g.config.Knowledge.KnowsWorkers() {
+		return
+	}
+	if g.config.Asker.Catch(ctx, s.Self.VM) && completes {
 		g.caught.Store(true)
 	}
 }
