--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -3,6 +3,7 @@
 package job
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,11 @@
 	Index int `json:"index"`
 }
 
+// Compare orders tasks by job, step and index.
+func (t Task) Compare(o Task) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // Run numbers the starts of one task from 1.
 type Run int
 
--- a/internal/pool/replay_test.go
+++ b/internal/pool/replay_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -228,7 +229,7 @@
 // work ends the runs that are done.
 func (s *replay) work() {
 	for _, w := range s.workers {
-		for _, t := range slices.SortedFunc(tasksIn(w.runs), compareTasks) {
+		for _, t := range slices.SortedFunc(maps.Keys(w.runs), job.Task.Compare) {
 			if run := w.runs[t]; !w.hangs && !run.end.After(s.now) {
 				w.finish(t, EndedDone)
 			}
@@ -236,17 +237,6 @@
 	}
 }
 
-// tasksIn yields the keys of the runs.
-func tasksIn(runs map[job.Task]replayRun) func(func(job.Task) bool) {
-	return func(yield func(job.Task) bool) {
-		for t := range runs {
-			if !yield(t) {
-				return
-			}
-		}
-	}
-}
-
 func (w *replayWorker) finish(t job.Task, how How) {
 	w.number++
 	w.ended = append(w.ended, End{Number: w.number, Task: t, Run: w.runs[t].run, How: how})
@@ -323,7 +313,7 @@
 			return false
 		}
 		r.Ended = slices.Clone(w.ended)
-		for _, t := range slices.SortedFunc(tasksIn(w.runs), compareTasks) {
+		for _, t := range slices.SortedFunc(maps.Keys(w.runs), job.Task.Compare) {
 			run, percent := w.runs[t], 0
 			if !w.hangs {
 				percent = int(100 * s.now.Sub(run.begun) / run.end.Sub(run.begun))
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -291,7 +291,7 @@
 	orders, answers := w.pools[i].Take()
 	// The pool's maps have no order; the schedule must not depend on it.
 	slices.SortStableFunc(orders, func(a, b Order) int {
-		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Kind, b.Kind), compareTasks(a.Task, b.Task))
+		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Kind, b.Kind), a.Task.Compare(b.Task))
 	})
 	for _, o := range orders {
 		w.stats["orders"]++
@@ -428,7 +428,7 @@
 		s.ended = kept
 		s.extend(o.Deadline, clock)
 		r.Ended = append(r.Ended, s.ended...)
-		for _, t := range slices.SortedFunc(maps.Keys(s.running), compareTasks) {
+		for _, t := range slices.SortedFunc(maps.Keys(s.running), job.Task.Compare) {
 			run := s.running[t]
 			r.Running = append(r.Running, RunningTask{Task: t, Run: run.run, Percent: int(100 * (run.whole - run.left) / run.whole)})
 		}
@@ -464,10 +464,6 @@
 	return ""
 }
 
-func compareTasks(a, b job.Task) int {
-	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
-}
-
 func (s *simWorker) end(t job.Task, how How) {
 	s.number++
 	s.ended = append(s.ended, End{Number: s.number, Task: t, Run: s.running[t].run, How: how})
@@ -477,7 +473,7 @@
 // work lets the runs on s go on, end or lapse.
 func (w *world) work(s *simWorker) {
 	lapsed := s.clock(w.now) > s.deadline && w.plant != plantLeasesEndless
-	for _, t := range slices.SortedFunc(maps.Keys(s.running), compareTasks) {
+	for _, t := range slices.SortedFunc(maps.Keys(s.running), job.Task.Compare) {
 		run := s.running[t]
 		run.left -= stepTime
 		s.running[t] = run
