Dispatchers and gates log what they decide about a job

No line said which dispatcher started or refused a job, that a gate handed it in again, that an answer or a start had no gate left, that a hand-over failed, or whom an entry VM followed: hypotheses about the incident could not be told apart.

Events 807 to 813. One line for each job at its start; all others are of jobs that go wrong.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -52,6 +52,13 @@
 	JobSpilled        ID = 804
 	JobNotCompleted   ID = 805
 	WorkersDivided    ID = 806
+	JobStarted        ID = 807
+	JobHandedAgain    ID = 808
+	JobRefused        ID = 809
+	AnswerUnclaimed   ID = 810
+	StartUnclaimed    ID = 811
+	HandOverLost      ID = 812
+	LeaderFollowed    ID = 813
 )
 
 // Entry describes one event.
@@ -100,6 +107,13 @@
 	{JobSpilled, zapcore.InfoLevel, "job handed to another group", "Its own group would have been late with it; the outcome is what the other made of it."},
 	{JobNotCompleted, zapcore.WarnLevel, "job not completed", "A caller's job was refused (not_run), failed or was given up (abandoned), for the reason in the field."},
 	{WorkersDivided, zapcore.InfoLevel, "workers divided", "The workers of the failure domain are divided into another number of groups, each with a dispatcher; what runs is stopped, and starts again after 1.5 s."},
+	{JobStarted, zapcore.InfoLevel, "job started", "The dispatcher ordered the first task of a job; `gates` says how many gates wait for its answer."},
+	{JobHandedAgain, zapcore.InfoLevel, "job handed in again", "A gate handed in a job that is in hand here (`known`) or that was handed to another dispatcher before (`may_run`)."},
+	{JobRefused, zapcore.InfoLevel, "job refused by its dispatcher", "The dispatcher had started no task of it; with `elsewhere` another group may take it."},
+	{AnswerUnclaimed, zapcore.InfoLevel, "answer that no gate waits for", "The gates of the job were lost or have withdrawn it."},
+	{StartUnclaimed, zapcore.ErrorLevel, "task started that no gate waits for", "A job went on that nobody waits for: its caller may have been told that it did not run. Report it."},
+	{HandOverLost, zapcore.WarnLevel, "hand-over without an answer", "The dispatcher was lost or is not the dispatcher any more; the gate hands the job in again. With `may_run` its tasks may have been started."},
+	{LeaderFollowed, zapcore.InfoLevel, "dispatcher followed", "This entry VM takes another VM, or none, for the dispatcher of a group from now on."},
 }
 
 var byID = func() map[ID]Entry {
--- a/tamarackpin/internal/group/directory.go
+++ b/tamarackpin/internal/group/directory.go
@@ -46,9 +46,11 @@
 		l.VM, _ = p.leadership.Leader(now)
 		next.leaders = append(next.leaders, l)
 	}
-	if slices.Equal(next.leaders, g.directory.Load().leaders) {
+	before := g.directory.Load().leaders
+	if slices.Equal(next.leaders, before) {
 		return
 	}
+	g.logFollowed(before, next.leaders)
 	g.changeMu.Lock()
 	defer g.changeMu.Unlock()
 	g.directory.Store(next)
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -220,7 +220,9 @@
 	for _, o := range orders {
 		g.calls.Go(func() { g.call(ctx, o) })
 	}
+	g.logAnswers(p, answers)
 	p.answer(answers)
+	g.logStarts(p, orders)
 	if len(orders)+len(answers) > 0 {
 		g.count()
 	}
--- a/tamarackpin/internal/group/hand.go
+++ b/tamarackpin/internal/group/hand.go
@@ -14,7 +14,8 @@
 type Handed struct {
 	Answer   pool.Answer
 	Answered bool
-	MayRun   bool // without an answer: tasks may have been started
+	MayRun   bool  // without an answer: tasks may have been started
+	Err      error // why there was no answer; nil if the VM said that it does not lead
 }
 
 // withdrawTimeout bounds telling a leader that a job is withdrawn.
@@ -89,6 +90,13 @@
 // Hand hands a job to the leader and waits for its answer, or until ctx is done:
 // then the job is withdrawn. number tells the calls of this VM apart.
 func (g *Group) Hand(ctx context.Context, to Leader, number uint64, r pool.Request) Handed {
+	begun := time.Now()
+	h := g.hand(ctx, to, number, r)
+	g.logHandOver(to, number, r.Job.ID, time.Since(begun), h)
+	return h
+}
+
+func (g *Group) hand(ctx context.Context, to Leader, number uint64, r pool.Request) Handed {
 	w := work{Ticket{g.self.VM, g.self.Incarnation, number}, to.Group, to.Epoch, r}
 	var o outcome
 	var err error
@@ -101,12 +109,12 @@
 		return Handed{Answer: o.Answer, Answered: o.Leads, MayRun: o.Taken}
 	}
 	if peer.NotSent(err) {
-		return Handed{}
+		return Handed{Err: err}
 	}
 	if to.VM != g.self.VM {
 		go g.tellWithdrawn(context.WithoutCancel(ctx), to.VM, withdrawal{w.Ticket, r.Job.ID})
 	}
-	return Handed{MayRun: true}
+	return Handed{MayRun: true, Err: err}
 }
 
 func (g *Group) tellWithdrawn(ctx context.Context, leader vm.ID, w withdrawal) {
--- /dev/null
+++ b/tamarackpin/internal/group/trail.go
@@ -0,0 +1,100 @@
+package group
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/vm"
+)
+
+// logHandedAgain writes a line for a job that this dispatcher or another one had
+// before.
+func (g *Group) logHandedAgain(p *part, w work) {
+	known := len(p.waiters[w.Request.Job.ID])
+	if known == 0 && !w.Request.MayRun {
+		return
+	}
+	event.Log(g.config.Log, event.JobHandedAgain, zap.String("job", string(w.Request.Job.ID)), zap.Int("group", int(w.Group)),
+		zap.String("gate", string(w.Ticket.Gate)), zap.Uint64("number", w.Ticket.Number), zap.Int("known", known),
+		zap.Bool("may_run", w.Request.MayRun), zap.Duration("age", w.Request.Age))
+}
+
+// logAnswers writes a line for each refusal, and for each answer that nobody waits
+// for.
+func (g *Group) logAnswers(p *part, answers []pool.Answer) {
+	for _, a := range answers {
+		gates := len(p.waiters[a.Job])
+		fields := []zap.Field{
+			zap.String("job", string(a.Job)), zap.Int64("fence", int64(p.leadership.Claim().Fence)), zap.String("outcome", string(a.Outcome)),
+			zap.String("reason", a.Reason), zap.Bool("elsewhere", a.Elsewhere), zap.Int("gates", gates),
+		}
+		switch {
+		case gates == 0:
+			event.Log(g.config.Log, event.AnswerUnclaimed, fields...)
+		case a.Outcome == job.NotRun:
+			event.Log(g.config.Log, event.JobRefused, fields...)
+		}
+	}
+}
+
+// logStarts writes a line for the first task of each job that is ordered to start,
+// and for each task that starts for nobody.
+func (g *Group) logStarts(p *part, orders []pool.Order) {
+	for _, o := range orders {
+		if o.Kind != pool.StartOrder {
+			continue
+		}
+		gates := len(p.waiters[o.Task.Job])
+		id := event.JobStarted
+		switch {
+		case gates == 0 && stopped(o, orders):
+			continue // withdrawn at the same moment
+		case gates == 0:
+			id = event.StartUnclaimed
+		case o.Task.Index > 0:
+			continue
+		}
+		event.Log(g.config.Log, id, zap.String("job", string(o.Task.Job)), zap.Int("step", o.Task.Step), zap.Int("index", o.Task.Index),
+			zap.Int("run", int(o.Run)), zap.String("worker", string(o.Worker)), zap.Int64("fence", int64(o.Fence)), zap.Int("gates", gates))
+	}
+}
+
+// stopped reports whether orders stop the run that o starts.
+func stopped(o pool.Order, orders []pool.Order) bool {
+	return slices.ContainsFunc(orders, func(s pool.Order) bool { return s.Kind == pool.StopOrder && s.Task == o.Task && s.Run == o.Run })
+}
+
+// logHandOver writes a line for a hand-over that had no answer.
+func (g *Group) logHandOver(to Leader, number uint64, id job.ID, took time.Duration, h Handed) {
+	if h.Answered {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("job", string(id)), zap.String("to", string(to.VM)), zap.Int("group", int(to.Group)), zap.Int64("fence", int64(to.Claim.Fence)),
+		zap.Uint64("number", number), zap.Bool("may_run", h.MayRun), zap.Duration("took", took),
+	}
+	if h.Err != nil {
+		fields = append(fields, event.Err(h.Err))
+	}
+	event.Log(g.config.Log, event.HandOverLost, fields...)
+}
+
+// logFollowed writes a line for each group whose dispatcher is another one now.
+func (g *Group) logFollowed(before, now []Leader) {
+	for i, l := range now {
+		var old vm.ID
+		if i < len(before) {
+			old = before[i].VM
+		}
+		if i < len(before) && before[i] == l {
+			continue
+		}
+		event.Log(g.config.Log, event.LeaderFollowed, zap.Int("group", i), zap.Int64("epoch", int64(l.Epoch)), zap.String("vm", string(l.VM)),
+			zap.Int64("fence", int64(l.Claim.Fence)), zap.String("before", string(old)))
+	}
+}
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -99,6 +99,7 @@
 			return
 		}
 		taken <- true
+		g.logHandedAgain(p, w)
 		id := w.Request.Job.ID
 		p.waiters[id] = append(p.waiters[id], waiter{w.Ticket, done})
 		p.pool.Submit(now, w.Request)
