An answer is told to the gates of its admission only

Cause: a dispatcher found the gates that wait for an answer by the job's id, and answers are delivered once all commands that wait have been taken in. When it is behind by some hundred ms, gates lose it, break their hand-overs off and hand their jobs in again. Both tries then wait in its queue. The first is refused, its answer waits to be delivered; the second begins the job anew, as it may run elsewhere; and then the refusal of the first goes to both gates. The job goes on with nobody waiting for it, and starts when a worker has room. The class of fault: a reply that is matched by the key of what it is about, not by the request that it answers, where the key can begin another life in between.

The pool numbers the lives of its jobs: Submit returns an Admission, an Answer names it, a withdrawal ends only that. A gate that waits for one cannot be told of another, whatever is delivered when. Ruled out as weaker: delivering answers after each command, which holds only as long as nobody changes the loop. Schedules, replays and their golden files are the same; the two test drivers follow the signatures.

--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -7,14 +7,15 @@
 )
 
 // Submit takes in a job. A job that is known already goes on as it is; the
-// answer serves both.
-func (p *Pool) Submit(now time.Time, r Request) {
+// answer to its admission serves both.
+func (p *Pool) Submit(now time.Time, r Request) Admission {
 	if j := p.jobs[r.Job.ID]; j != nil && !j.ended {
 		j.until = later(j.until, now.Add(r.Patience))
 		j.began = j.began || r.MayRun
-		return
+		return j.admission
 	}
-	j := &jobState{Request: r, arrived: now.Add(-r.Age), until: now.Add(r.Patience)}
+	p.admissions++
+	j := &jobState{Request: r, admission: Admission{r.Job.ID, p.admissions}, arrived: now.Add(-r.Age), until: now.Add(r.Patience)}
 	if r.MayRun {
 		j.began = true
 		j.settle = p.begun.Add(settleTime)
@@ -36,6 +37,15 @@
 	if j.waits() {
 		p.triage(now)
 	}
+	return j.admission
+}
+
+// InHand returns the admission of a job that is not answered.
+func (p *Pool) InHand(id job.ID) (a Admission, ok bool) {
+	if j := p.jobs[id]; j != nil && !j.ended {
+		return j.admission, true
+	}
+	return Admission{}, false
 }
 
 // dividing reports whether dispatchers of before the workers were divided may
@@ -80,9 +90,9 @@
 	}
 }
 
-// Withdraw takes in that nobody waits for a job any more.
-func (p *Pool) Withdraw(now time.Time, id job.ID) {
-	if j := p.jobs[id]; j != nil && !j.ended {
+// Withdraw takes in that nobody waits for an admission any more.
+func (p *Pool) Withdraw(now time.Time, a Admission) {
+	if j := p.jobs[a.Job]; j != nil && j.admission == a && !j.ended {
 		p.end(now, j)
 	}
 }
@@ -116,7 +126,7 @@
 
 // answer ends a job with what its caller is told.
 func (p *Pool) answer(now time.Time, j *jobState, a Answer) {
-	a.Job = j.Job.ID
+	a.Admission = j.admission
 	p.answers = append(p.answers, a)
 	p.end(now, j)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -68,6 +68,8 @@
 	jobs    map[job.ID]*jobState
 	learn   Learner
 
+	admissions uint64 // until now
+
 	orders  []Order
 	answers []Answer
 	triaged time.Time
--- a/internal/pool/replay_test.go
+++ b/internal/pool/replay_test.go
@@ -131,7 +131,7 @@
 
 // dispatcher is what is compared: Pool, or the naive one.
 type dispatcher interface {
-	Submit(now time.Time, r Request)
+	Submit(now time.Time, r Request) Admission
 	Receive(now time.Time, r Reply)
 	Observe(now time.Time, h worker.Heard)
 	Tick(now time.Time)
@@ -365,11 +365,12 @@
 }
 
 // Submit queues the tasks of a job.
-func (n *naive) Submit(_ time.Time, r Request) {
+func (n *naive) Submit(_ time.Time, r Request) Admission {
 	n.needs[r.Job.ID] = &naiveJob{r, r.Job.Steps[0].Count}
 	for i := range r.Job.Steps[0].Count {
 		n.queue = append(n.queue, job.Task{Job: r.Job.ID, Index: i})
 	}
+	return Admission{Job: r.Job.ID}
 }
 
 // Observe takes in a worker.
@@ -394,7 +395,7 @@
 		w.used--
 		if j := n.needs[e.Task.Job]; j != nil {
 			if j.left--; j.left == 0 {
-				n.answers = append(n.answers, Answer{Job: j.Job.ID, Outcome: job.Completed})
+				n.answers = append(n.answers, Answer{Admission: Admission{Job: j.Job.ID}, Outcome: job.Completed})
 			}
 		}
 	}
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -30,9 +30,9 @@
 	Guest bool
 }
 
-// Answer is what became of a Request.
+// Answer is what became of the Requests of an Admission.
 type Answer struct {
-	Job        job.ID
+	Admission
 	Outcome    job.Outcome
 	Reason     string        // for the log
 	RetryAfter time.Duration // of a refusal
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -278,7 +278,9 @@
 		if w.next > 0 && w.r.IntN(4) == 0 {
 			id := job.ID(fmt.Sprint("j", 1+w.r.IntN(w.next)))
 			if p, ok := w.owner(string(id)); ok {
-				p.Withdraw(w.now, id)
+				if a, inHand := p.InHand(id); inHand {
+					p.Withdraw(w.now, a)
+				}
 				w.left[id] = w.now
 				w.stats["withdrawn"]++
 			}
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -64,17 +64,18 @@
 // jobState is a job that is not answered.
 type jobState struct {
 	Request
-	arrived time.Time // when the caller sent it
-	until   time.Time // how long the caller waits
-	due     time.Time // objective
-	settle  time.Time // no start before it, unless every worker was listed
-	barred  time.Time // no start before it, whatever was listed
-	work    time.Duration
-	tasks   []*task
-	left    int // tasks not done
-	began   bool
-	late    bool // it cannot meet its objective, given what is ahead of it
-	ended   bool // answered or withdrawn; tasks may still be stopping
+	admission Admission
+	arrived   time.Time // when the caller sent it
+	until     time.Time // how long the caller waits
+	due       time.Time // objective
+	settle    time.Time // no start before it, unless every worker was listed
+	barred    time.Time // no start before it, whatever was listed
+	work      time.Duration
+	tasks     []*task
+	left      int // tasks not done
+	began     bool
+	late      bool // it cannot meet its objective, given what is ahead of it
+	ended     bool // answered or withdrawn; tasks may still be stopping
 }
 
 // tasksOf makes the tasks of a job.
--- a/tamarackpin/internal/group/trail.go
+++ b/tamarackpin/internal/group/trail.go
@@ -15,7 +15,7 @@
 // logHandedAgain writes a line for a job that this dispatcher or another one had
 // before.
 func (g *Group) logHandedAgain(p *part, w work) {
-	known := len(p.waiters[w.Request.Job.ID])
+	known := p.gates(w.Request.Job.ID)
 	if known == 0 && !w.Request.MayRun {
 		return
 	}
@@ -24,11 +24,20 @@
 		zap.Bool("may_run", w.Request.MayRun), zap.Duration("age", w.Request.Age))
 }
 
+// gates returns how many gates wait for a job that is in hand.
+func (p *part) gates(id job.ID) int {
+	a, inHand := p.pool.InHand(id)
+	if !inHand {
+		return 0
+	}
+	return len(p.waiters[a])
+}
+
 // logAnswers writes a line for each refusal, and for each answer that nobody waits
 // for.
 func (g *Group) logAnswers(p *part, answers []pool.Answer) {
 	for _, a := range answers {
-		gates := len(p.waiters[a.Job])
+		gates := len(p.waiters[a.Admission])
 		fields := []zap.Field{
 			zap.String("job", string(a.Job)), zap.Int64("fence", int64(p.leadership.Claim().Fence)), zap.String("outcome", string(a.Outcome)),
 			zap.String("reason", a.Reason), zap.Bool("elsewhere", a.Elsewhere), zap.Int("gates", gates),
@@ -49,7 +58,7 @@
 		if o.Kind != pool.StartOrder {
 			continue
 		}
-		gates := len(p.waiters[o.Task.Job])
+		gates := p.gates(o.Task.Job)
 		id := event.JobStarted
 		switch {
 		case gates == 0 && stopped(o, orders):
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"tamarackpin.example/internal/code"
-	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/vm"
@@ -50,7 +49,6 @@
 // withdrawal says that a gate does not wait any more.
 type withdrawal struct {
 	Ticket Ticket `json:"ticket"`
-	Job    job.ID `json:"job"`
 }
 
 // outcome is the leader's reply to a gate.
@@ -100,9 +98,7 @@
 		}
 		taken <- true
 		g.logHandedAgain(p, w)
-		id := w.Request.Job.ID
-		p.waiters[id] = append(p.waiters[id], waiter{w.Ticket, done})
-		p.pool.Submit(now, w.Request)
+		p.submit(now, w.Request, waiter{w.Ticket, done})
 	})
 	if err != nil {
 		return outcome{}, code.New(code.Cancelled, "the gate left before the job was taken in")
@@ -118,7 +114,7 @@
 	case r := <-done:
 		return outcome{Answer: r.answer, Leads: !r.dropped, Taken: true}, nil
 	case <-ctx.Done():
-		g.withdraw(context.WithoutCancel(ctx), withdrawal{w.Ticket, w.Request.Job.ID})
+		g.withdraw(context.WithoutCancel(ctx), withdrawal{w.Ticket})
 		return outcome{}, code.New(code.Cancelled, "the gate left")
 	}
 }
