A job that comes again while its tasks still stop has begun

A job is withdrawn while a start of it has no answer; its caller sends it again; the new life took over the tasks that may still be on workers, but not that the job had begun. With the workers full it was refused as not run, while the start could still be carried out, up to 12 s late.

pool.TestJobThatStillStopsIsNotCalledNotRun: fails before (answered not_run at the end of its caller's time), passes after. Ruled out: remembering jobs for longer than their tasks may run; a caller whose first try had no answer knows that it may have run.

--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -55,9 +55,10 @@
 // them may have given it up and start it elsewhere.
 func (p *Pool) dividing(now time.Time) bool { return now.Sub(p.config.Divided) < settleTime }
 
-// inherit takes over the tasks of a withdrawn job of the same id that may still
-// be on workers, so that none runs twice.
+// inherit takes over what is known of a withdrawn job of the same id: that it has
+// begun, and the tasks that may still be on workers, so that none runs twice.
 func (j *jobState) inherit(old *jobState) {
+	j.began = j.began || old.began
 	for i, t := range old.tasks {
 		if i >= len(j.tasks) || t.name != j.tasks[i].name {
 			return
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -351,3 +351,26 @@
 		t.Errorf("not started after %s: %+v", settleTime, list)
 	}
 }
+
+// TestJobThatStillStopsIsNotCalledNotRun: a job was withdrawn and its start, which
+// had no answer, may still be carried out. When its caller sends it again, it
+// is not refused as not run (issue 17).
+func TestJobThatStillStopsIsNotCalledNotRun(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Submit(b.now, request("full", 1, 3*time.Second))
+	first := b.pool.Submit(b.now, request("again", 1, 200*time.Millisecond))
+	for _, o := range b.orders(StartOrder) {
+		if o.Task.Job == "again" {
+			b.reply(o, Reply{})
+		}
+	}
+	b.pool.Withdraw(b.now, first)
+	b.pool.Submit(b.now, request("again", 1, 200*time.Millisecond))
+	b.pass(2 * time.Second) // its caller's time
+	_, answers := b.take()
+	for _, a := range answers {
+		if a.Job == "again" && a.Outcome == job.NotRun {
+			t.Errorf("answered %+v while a start of it has no answer", a)
+		}
+	}
+}
