A job in hand that may run elsewhere waits for the workers as well

After a takeover a caller's next try came first, through a gate that knows nothing of an earlier one, and the gate that had handed the job to the dispatcher of before came second. The second request only noted that the job had begun, so it started on the next worker with room while others were not looked at: twice at once is possible.

It waits now as if that gate had come first. pool.TestKnownJobThatMayRunWaitsForWorkers (by the reviewer) fails before and passes after. Ruled out: doing so for jobs that this dispatcher started itself, whose workers it knows.

--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -11,7 +11,9 @@
 func (p *Pool) Submit(now time.Time, r Request) Admission {
 	if j := p.jobs[r.Job.ID]; j != nil && !j.ended {
 		j.until = later(j.until, now.Add(r.Patience))
-		j.began = j.began || r.MayRun
+		if r.MayRun && !j.began {
+			j.began, j.settle = true, p.begun.Add(settleTime)
+		}
 		return j.admission
 	}
 	p.admissions++
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -374,3 +374,33 @@
 		}
 	}
 }
+
+// TestKnownJobThatMayRunWaitsForWorkers: a second gate says of a job in hand that it may
+// run elsewhere. It does not start before every worker was looked at, as if that gate had
+// come first (issue 17).
+func TestKnownJobThatMayRunWaitsForWorkers(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Submit(b.now, request("full", 2, time.Second)) // takes all the room of w0
+	var full []Order
+	for _, o := range b.orders(StartOrder) {
+		b.reply(o, Reply{Done: true})
+		full = append(full, o)
+	}
+	b.announce("w1", 1) // not looked at yet: it may run the job for the dispatcher of before
+	r := request("twice", 1, 900*time.Millisecond)
+	b.pool.Submit(b.now, r) // the caller's next try, at another gate
+	r.MayRun = true
+	b.pool.Submit(b.now, r) // the gate that handed it to the dispatcher of before
+	b.now = b.now.Add(300 * time.Millisecond)
+	for _, o := range b.orders(HoldOrder) {
+		if o.Worker == "w0" {
+			b.reply(o, Reply{Done: true, Ended: []End{{Number: 1, Task: full[0].Task, Run: 1, How: EndedDone}}, Running: []RunningTask{{Task: full[1].Task, Run: 1}}})
+		}
+	}
+	b.pass(20 * time.Millisecond)
+	for _, o := range b.orders(StartOrder) {
+		if o.Task.Job == "twice" {
+			t.Errorf("after %s it is started on %s, while w1 was not looked at", b.now.Sub(time.Unix(1000, 0)), o.Worker)
+		}
+	}
+}
