A withdrawal holds for a hand-over that comes after it

The job was then taken in for a gate that does not listen any more, and its workers ran it for nobody, at the time when they are fullest.

Ruled out: serving calls in turn, as some wait for long; passing the ticket with each ping (only guests have them). The withdrawal names its job again, as in the version before, so that VMs of both versions understand each other during a rolling restart.

--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -80,6 +80,7 @@
 	divider  lead.Divider
 	parts    []*part   // one for each group of the division
 	told     time.Time // when the pools were last told of workers
+	early    withdrawals
 	calls    sync.WaitGroup
 }
 
@@ -161,6 +162,7 @@
 		g.divide(now, d) // as a control VM remembers it
 	}
 	g.claim(now)
+	g.early.forget(now)
 	if now.Sub(g.told) >= workersEvery {
 		g.told = now
 		g.tellWorkers(now)
--- a/tamarackpin/internal/group/hand.go
+++ b/tamarackpin/internal/group/hand.go
@@ -112,7 +112,7 @@
 		return Handed{Err: err}
 	}
 	if to.VM != g.self.VM {
-		go g.tellWithdrawn(context.WithoutCancel(ctx), to.VM, withdrawal{w.Ticket})
+		go g.tellWithdrawn(context.WithoutCancel(ctx), to.VM, withdrawal{w.Ticket, r.Job.ID})
 	}
 	return Handed{MayRun: true, Err: err}
 }
--- a/tamarackpin/internal/group/part.go
+++ b/tamarackpin/internal/group/part.go
@@ -53,12 +53,12 @@
 	}
 }
 
-// withdraw takes in that a gate does not wait any more. The job goes on if another
-// waits for the same admission.
-func (p *part) withdraw(now time.Time, w withdrawal) {
+// withdraw takes in that a gate does not wait any more, and reports whether it did.
+// The job goes on if another waits for the same admission.
+func (p *part) withdraw(now time.Time, w withdrawal) bool {
 	a, waits := p.admitted[w.Ticket]
 	if !waits {
-		return
+		return false
 	}
 	delete(p.admitted, w.Ticket)
 	p.waiters[a] = slices.DeleteFunc(p.waiters[a], func(one waiter) bool {
@@ -68,10 +68,11 @@
 		return one.ticket == w.Ticket
 	})
 	if len(p.waiters[a]) > 0 {
-		return
+		return true
 	}
 	delete(p.waiters, a)
 	if p.pool != nil {
 		p.pool.Withdraw(now, a)
 	}
+	return true
 }
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackpin.example/internal/code"
+	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/vm"
@@ -49,6 +50,7 @@
 // withdrawal says that a gate does not wait any more.
 type withdrawal struct {
 	Ticket Ticket `json:"ticket"`
+	Job    job.ID `json:"job"` // VMs of earlier versions find the gate by it
 }
 
 // outcome is the leader's reply to a gate.
@@ -90,16 +92,7 @@
 func (g *Group) run(ctx context.Context, w work) (outcome, error) {
 	done := make(chan result, 1)
 	taken := make(chan bool, 1)
-	err := g.ring.Put(ctx, func(g *Group, now time.Time) {
-		p := g.led(w.Epoch, w.Group)
-		if p == nil {
-			taken <- false
-			return
-		}
-		taken <- true
-		g.logHandedAgain(p, w)
-		p.submit(now, w.Request, waiter{w.Ticket, done})
-	})
+	err := g.ring.Put(ctx, func(g *Group, now time.Time) { taken <- g.admit(now, w, done) })
 	if err != nil {
 		return outcome{}, code.New(code.Cancelled, "the gate left before the job was taken in")
 	}
@@ -114,7 +107,7 @@
 	case r := <-done:
 		return outcome{Answer: r.answer, Leads: !r.dropped, Taken: true}, nil
 	case <-ctx.Done():
-		g.withdraw(context.WithoutCancel(ctx), withdrawal{w.Ticket})
+		g.withdraw(context.WithoutCancel(ctx), withdrawal{w.Ticket, w.Request.Job.ID})
 		return outcome{}, code.New(code.Cancelled, "the gate left")
 	}
 }
@@ -132,9 +125,27 @@
 func (g *Group) withdraw(ctx context.Context, w withdrawal) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	_ = g.ring.Put(ctx, func(g *Group, now time.Time) {
-		for _, p := range g.parts {
-			p.withdraw(now, w)
+	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.dismiss(now, w) })
+}
+
+// admit takes in a job, and reports whether this VM dispatches it.
+func (g *Group) admit(now time.Time, w work, done chan result) bool {
+	p := g.led(w.Epoch, w.Group)
+	if p == nil || g.early.take(w.Ticket) {
+		return false
+	}
+	g.logHandedAgain(p, w)
+	p.submit(now, w.Request, waiter{w.Ticket, done})
+	return true
+}
+
+// dismiss takes in that a gate does not wait any more, or will not once its job
+// comes.
+func (g *Group) dismiss(now time.Time, w withdrawal) {
+	for _, p := range g.parts {
+		if p.withdraw(now, w) {
+			return
 		}
-	})
+	}
+	g.early.add(now, w.Ticket)
 }
