A farewell ends one life of a worker only

A worker deregisters at one control VM and starts again under its name, which another control VM hears. An entry VM that is told by the first one after the second marked the new life as gone, and took all its heartbeats for late ones: a worker with room gets no task, and a fresh dispatcher does not wait for what runs there.

Leave names the incarnation. fleet.TestFarewellOfAnEarlierLife (by the reviewer) fails before (the new life is known with the highest sequence number, gone) and passes after. Open: a farewell that comes late and says nothing of its life still ends the one that is known.

--- a/internal/worker/book.go
+++ b/internal/worker/book.go
@@ -58,11 +58,11 @@
 	return news
 }
 
-// Leave takes in that a worker deregistered. Later announcements of the same
-// incarnation are late ones.
-func (b *Book) Leave(id ID) {
+// Leave takes in that an incarnation of a worker deregistered, or the one that is
+// known if i is 0. Later announcements of the same incarnation are late ones.
+func (b *Book) Leave(id ID, i Incarnation) {
 	h, known := b.heard[id]
-	if !known || h.Gone {
+	if !known || h.Gone || i != 0 && i != h.Incarnation {
 		return
 	}
 	b.cursor++
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -115,11 +115,12 @@
 	return true
 }
 
-// Leave takes in that a worker deregistered.
-func (k *Knowledge) Leave(id worker.ID) {
+// Leave takes in that an incarnation of a worker deregistered, or the one that is known
+// if i is 0.
+func (k *Knowledge) Leave(id worker.ID, i worker.Incarnation) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.book.Leave(id)
+	k.book.Leave(id, i)
 	k.tell()
 }
 
--- a/tamarackpin/internal/fleet/knowledge_test.go
+++ b/tamarackpin/internal/fleet/knowledge_test.go
@@ -132,3 +132,23 @@
 	cancel()
 	return ctx
 }
+
+// TestFarewellOfAnEarlierLife: a control VM that knows of a worker's last life only, which
+// deregistered, does not end the life that another one told of (issue 17).
+func TestFarewellOfAnEarlierLife(t *testing.T) {
+	now := time.Unix(1000, 0)
+	behind, entry := knowledge("ip-01", "a"), knowledge("ip-02", "a")
+	behind.Announce(now, announcement("w", 1, "a"), 0)
+	behind.Leave("w", 0)
+	again := announcement("w", 1, "a")
+	again.Incarnation = 2
+	entry.Announce(now.Add(time.Second), again, 0)
+	n, _ := behind.since(now.Add(2*time.Second), question{Self: entry.Self()})
+	entry.absorb(now.Add(2*time.Second), n)
+	again.Sequence = 2
+	entry.Announce(now.Add(2*time.Second), again, 0)
+	workers, _ := entry.Workers("a", 0)
+	if len(workers) != 1 || workers[0].Incarnation != 2 || !workers[0].Usable(now.Add(2*time.Second)) {
+		t.Errorf("after news of the life before, the worker is known as %+v", workers)
+	}
+}
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -143,7 +143,7 @@
 	for _, w := range n.Workers {
 		k.Announce(now, w.Announcement, w.Age.Std())
 		if w.Gone {
-			k.Leave(w.Worker)
+			k.Leave(w.Worker, w.Incarnation)
 		}
 	}
 	k.mu.Lock()
