Event 811 is written for jobs in hand only

Found by the review: of the four jobs with 811 in the trace two may have been withdrawn with a task that was taken off its worker in the same batch, which no stop order shows. 811 asks the pool now whether the job is in hand, so it says what its page says.

--- a/tamarackpin/internal/group/trail.go
+++ b/tamarackpin/internal/group/trail.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,24 +14,15 @@
 // logHandedAgain writes a line for a job that this dispatcher or another one had
 // before.
 func (g *Group) logHandedAgain(p *part, w work) {
-	known := p.gates(w.Request.Job.ID)
-	if known == 0 && !w.Request.MayRun {
+	a, inHand := p.pool.InHand(w.Request.Job.ID)
+	if !inHand && !w.Request.MayRun {
 		return
 	}
 	event.Log(g.config.Log, event.JobHandedAgain, zap.String("job", string(w.Request.Job.ID)), zap.Int("group", int(w.Group)),
-		zap.String("gate", string(w.Ticket.Gate)), zap.Uint64("number", w.Ticket.Number), zap.Int("known", known),
+		zap.String("gate", string(w.Ticket.Gate)), zap.Uint64("number", w.Ticket.Number), zap.Int("known", len(p.waiters[a])),
 		zap.Bool("may_run", w.Request.MayRun), zap.Duration("age", w.Request.Age))
 }
 
-// gates returns how many gates wait for a job that is in hand.
-func (p *part) gates(id job.ID) int {
-	a, inHand := p.pool.InHand(id)
-	if !inHand {
-		return 0
-	}
-	return len(p.waiters[a])
-}
-
 // logAnswers writes a line for each refusal, and for each answer that nobody waits
 // for.
 func (g *Group) logAnswers(p *part, answers []pool.Answer) {
@@ -58,11 +48,12 @@
 		if o.Kind != pool.StartOrder {
 			continue
 		}
-		gates := p.gates(o.Task.Job)
-		id := event.JobStarted
-		switch {
-		case gates == 0 && stopped(o, orders):
+		a, inHand := p.pool.InHand(o.Task.Job)
+		if !inHand {
 			continue // withdrawn at the same moment
+		}
+		id, gates := event.JobStarted, len(p.waiters[a])
+		switch {
 		case gates == 0:
 			id = event.StartUnclaimed
 		case o.Task.Index > 0:
@@ -73,11 +64,6 @@
 	}
 }
 
-// stopped reports whether orders stop the run that o starts.
-func stopped(o pool.Order, orders []pool.Order) bool {
-	return slices.ContainsFunc(orders, func(s pool.Order) bool { return s.Kind == pool.StopOrder && s.Task == o.Task && s.Run == o.Run })
-}
-
 // logHandOver writes a line for a hand-over that had no answer.
 func (g *Group) logHandOver(to Leader, number uint64, id job.ID, took time.Duration, h Handed) {
 	if h.Answered {
