--- a/tamarackpin/internal/group/trail.go
+++ b/tamarackpin/internal/group/trail.go
@@ -9,6 +9,7 @@
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/tamarackpin/internal/peer"
 )
 
 // logHandedAgain writes a line for a job that this dispatcher or another one had
@@ -64,9 +65,10 @@
 	}
 }
 
-// logHandOver writes a line for a hand-over that had no answer.
+// logHandOver writes a line for a hand-over that had no answer. One that never left is
+// made again some milliseconds later, and leaves none.
 func (g *Group) logHandOver(to Leader, number uint64, id job.ID, took time.Duration, h Handed) {
-	if h.Answered {
+	if h.Answered || peer.NotSent(h.Err) {
 		return
 	}
 	fields := []zap.Field{
