--- a/tamarackpin/internal/ledgers/client.go
+++ b/tamarackpin/internal/ledgers/client.go
@@ -28,12 +28,16 @@
 // waits for its result for at most wait. Since the id decides, it is sent again
 // whenever a primary is lost.
 func (h *Host) Submit(ctx context.Context, id submission.ID, s submission.Submission, wait time.Duration) (submission.Status, *code.Error) {
-	return h.follow(ctx, id, wait, func(ctx context.Context, primary vm.ID, wait time.Duration) (submission.Status, error) {
+	var all tries
+	status, refusal := h.follow(ctx, id, wait, func(ctx context.Context, primary vm.ID, wait time.Duration) (submission.Status, error) {
 		if primary == h.config.Self.VM {
 			return result(h.submit(ctx, id, s, wait))
 		}
-		return peer.Call[submission.Status](ctx, h.config.Mesh, primary, report.UseForward, methodSubmit, submitRequest{id, s, wire.Duration(wait)})
+		r, err := peer.Call[submission.Status](ctx, h.config.Mesh, primary, report.UseForward, methodSubmit, submitRequest{id, s, wire.Duration(wait)})
+		all.observe(err)
+		return r, err
 	})
+	return status, all.refusal(refusal)
 }
 
 // Status asks what became of a submission and waits for its result for at most
