A dispatcher that was replaced sends no order that waits

Orders made before the refusal in the same batch were sent; a start among them would begin a job that is being given up, on a worker that has not seen the new fence.

--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -404,3 +404,38 @@
 		}
 	}
 }
+
+// TestFencedPoolOrdersNothing: a dispatcher learns that it was replaced while orders
+// wait to be sent. It sends none of them: a start would be of a job that it gives up
+// (issue 17).
+func TestFencedPoolOrdersNothing(t *testing.T) {
+	b := newBench(t, 2)
+	b.pool.Submit(b.now, request("known", 1, time.Second))
+	starts := b.orders(StartOrder)
+	b.take()
+	b.pool.Submit(b.now, request("new", 1, time.Second))
+	b.reply(starts[0], Reply{Refusal: RefusedFence})
+	if orders, _ := b.take(); len(orders) > 0 {
+		t.Errorf("it orders %+v", orders)
+	}
+}
+
+// TestKnownJobThatMayRunIsNotCalledNotRun: a gate says of a job in hand that it may run
+// elsewhere (issue 17).
+func TestKnownJobThatMayRunIsNotCalledNotRun(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Submit(b.now, request("full", 2, 500*time.Millisecond)) // takes all the room
+	r := request("known", 1, 200*time.Millisecond)
+	first := b.pool.Submit(b.now, r)
+	r.MayRun = true
+	if second := b.pool.Submit(b.now, r); second != first {
+		t.Errorf("it joined %+v, and was in hand as %+v", second, first)
+	}
+	b.pass(2 * time.Second) // its caller's time
+	_, answers := b.take()
+	for _, a := range answers {
+		if a.Job == "known" && a.Outcome != job.Abandoned {
+			t.Errorf("answered %+v", a)
+		}
+	}
+}
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -31,6 +31,7 @@
 	switch {
 	case r.Refusal == RefusedFence:
 		p.fenced = true
+		p.orders = nil
 		return
 	case r.Refusal == RefusedIncarnation:
 		p.gone(w)
