--- a/tamarackpin/internal/group/refusals_dispatcher_test.go
+++ b/tamarackpin/internal/group/refusals_dispatcher_test.go
@@ -178,20 +178,15 @@
 	})
 }
 
-// count counts the starts with no gate waiting: as the dispatcher sees it, which
-// happens when it finds in the same batch that it was replaced, and as it is, which
-// happens while a withdrawal is on its way or lost.
+// count counts the starts with no gate waiting: as the dispatcher sees it, which must
+// not happen, and as it is, which happens while a withdrawal is on its way or lost.
 func (d *simDispatcher) count(orders []pool.Order) {
 	for _, o := range orders {
 		a, inHand := d.part.pool.InHand(o.Task.Job)
 		if o.Kind != pool.StartOrder || !inHand {
 			continue
 		}
-		switch {
-		case len(d.part.waiters[a]) > 0:
-		case d.part.pool.Fenced():
-			d.w.stats["started for nobody, replaced"]++
-		default:
+		if len(d.part.waiters[a]) == 0 {
 			d.w.stats["started for nobody"]++
 		}
 		if !slices.ContainsFunc(d.calls, func(c *simCall) bool { return !c.left && c.of.job.request.Job.ID == o.Task.Job }) {
--- a/tamarackpin/internal/group/refusals_schedule_test.go
+++ b/tamarackpin/internal/group/refusals_schedule_test.go
@@ -242,6 +242,9 @@
 			t.Errorf("%d %s in %d schedules: too few to show anything", total[k], k, refusalSeeds)
 		}
 	}
+	if n := total["started for nobody"]; n > 0 {
+		t.Errorf("%d tasks of jobs in hand started with no gate on the dispatcher's list", n)
+	}
 	if total["refused"]*10 < total["jobs"] || total["completed"]*4 < total["jobs"] {
 		t.Errorf("%d of %d jobs refused, %d completed: want a tenth and a quarter", total["refused"], total["jobs"], total["completed"])
 	}
