A call to another VM does not outlast its context while one dials

Hand-overs to a stopped dispatcher took 0.8 to 1.6 s for jobs with 0.2 to 0.7 s left, and many ended at the same moment.

Now one dials, and the others wait for it as long as they have time; the lock guards fields only.

peer.TestCallDoesNotOutlastItsContext: 950 ms for a call with 100 ms before, passes after. Ruled out: dialling apart from any caller's time, as dials would then outlast a cut by their whole timeout.

--- a/tamarackpin/internal/peer/mesh.go
+++ b/tamarackpin/internal/peer/mesh.go
@@ -51,7 +51,9 @@
 
 // link is the connection to one entry VM.
 type link struct {
-	mu       sync.Mutex // guards all below; held while dialling, so that one dial serves all
+	dialling chan struct{} // holds a value during a dial, so that one serves all
+
+	mu       sync.Mutex // guards all below
 	conn     *jsonrpc2.Conn
 	dialled  time.Time
 	failures int
@@ -66,7 +68,7 @@
 	}
 	l := m.links[to]
 	if l == nil {
-		l = &link{allowed: cmp.Or(m.FailuresToRedial, failuresToRedial)}
+		l = &link{dialling: make(chan struct{}, 1), allowed: cmp.Or(m.FailuresToRedial, failuresToRedial)}
 		m.links[to] = l
 	}
 	return l
@@ -119,24 +121,30 @@
 	return nil
 }
 
-// connect returns the connection to an entry VM, dialling it if need be.
+// connect returns the connection to an entry VM, dialling it if need be. It does not
+// outlast ctx while another call dials.
 func (m *Mesh) connect(ctx context.Context, to vm.ID) (*jsonrpc2.Conn, *link, error) {
 	l := m.link(to)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn != nil {
-		select {
-		case <-l.conn.DisconnectNotify():
-			l.conn = nil
-		default:
-			return l.conn, l, nil
-		}
+	if conn, _ := l.open(); conn != nil {
+		return conn, l, nil
 	}
-	if time.Since(l.dialled) < redialAfter {
+	select {
+	case l.dialling <- struct{}{}:
+		defer func() { <-l.dialling }()
+	case <-ctx.Done():
+		return nil, nil, errors.Wrapf(ctx.Err(), "waiting for a connection to entry VM %s", to)
+	}
+	conn, dialled := l.open()
+	if conn != nil {
+		return conn, l, nil
+	}
+	if time.Since(dialled) < redialAfter {
 		return nil, nil, errors.Newf("entry VM %s did not answer a moment ago", to)
 	}
-	defer func() { l.dialled = time.Now() }()
 	conn, err := m.dial(ctx, to)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dialled = time.Now()
 	if err != nil {
 		return nil, nil, err
 	}
@@ -144,6 +152,20 @@
 	return conn, l, nil
 }
 
+// open returns the connection unless it has ended, and when the last dial ended.
+func (l *link) open() (conn *jsonrpc2.Conn, dialled time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		select {
+		case <-l.conn.DisconnectNotify():
+			l.conn = nil
+		default:
+		}
+	}
+	return l.conn, l.dialled
+}
+
 func (m *Mesh) dial(ctx context.Context, to vm.ID) (*jsonrpc2.Conn, error) {
 	address, ok := "", false
 	if m.Address != nil {
@@ -180,11 +202,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
+		l.dialling <- struct{}{}
 		l.mu.Lock()
 		if l.conn != nil {
 			_ = l.conn.Close()
 		}
 		l.mu.Unlock()
+		<-l.dialling
 	}
 }
 
--- a/tamarackpin/internal/peer/peer_test.go
+++ b/tamarackpin/internal/peer/peer_test.go
@@ -205,3 +205,30 @@
 		})
 	}
 }
+
+// TestCallDoesNotOutlastItsContext: a call's time ends while another one dials a VM that
+// does not answer its greeting (issue 17; soak, seeds 309, 409, 415 and 419).
+func TestCallDoesNotOutlastItsContext(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	m := &Mesh{Self: "ip-7f000001", Recorder: new(report.Recorder), Address: func(vm.ID) (string, bool) { return l.Addr().String(), true }}
+	dialling := make(chan struct{})
+	go func() {
+		defer close(dialling)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		_, _ = Call[struct{}](ctx, m, "ip-7f000002", report.UseForward, "x", struct{}{})
+	}()
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	begun := time.Now()
+	_, err = Call[struct{}](ctx, m, "ip-7f000002", report.UseForward, "x", struct{}{})
+	if took := time.Since(begun); took > 300*time.Millisecond || !NotSent(err) {
+		t.Errorf("a call with 100 ms returned after %s: %v", took, err)
+	}
+	<-dialling
+}
