--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -7,6 +7,6 @@
 const (
 	Completed Outcome = "completed" // all tasks ended well
 	Failed    Outcome = "failed"    // a task failed as often as it may
-	NotRun    Outcome = "not_run"   // refused; no task was started, and none will be
+	NotRun    Outcome = "not_run"   // refused; no task was started for this request, and none will be
 	Abandoned Outcome = "abandoned" // given up after tasks were started
 )
