A VM that is slow keeps its connections and its offloaded jobs

Cause: two rules took lag for silence. A gate gave an offloaded job up after two pings of 250 ms without a reply, and it pinged once for each job, so 200 offloaded jobs of 1 s sent 806 pings. And a connection between VMs was closed after two calls in a row that timed out (heartbeats and pings have 250 ms), whatever arrived on it meanwhile, which lost every call that waited on it for a job's answer. On VMs of 0.12 of a core, and in TestHundredsOfCallers on a busy machine, that gave jobs up that ran (504, "the group that took the job cannot be heard any more").

Change: a connection counts as dead only if nothing was read from it since the first of the timed-out calls was sent. A VM is pinged at most every 250 ms whatever the number of jobs there, a late reply counts, and it counts as silent after 1.5 s without one, when it has withdrawn the jobs itself (after 0.9 s without a ping). A pause of the gate is not silence of the other VM. Event 814 says when jobs are given up for it.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,7 @@
 	StartUnclaimed    ID = 811
 	HandOverLost      ID = 812
 	LeaderFollowed    ID = 813
+	OffloadSilent     ID = 814
 )
 
 // Entry describes one event.
@@ -114,6 +115,7 @@
 	{StartUnclaimed, zapcore.ErrorLevel, "task started that no gate waits for", "A job went on that nobody waits for: its caller may have been told that it did not run. Report it."},
 	{HandOverLost, zapcore.WarnLevel, "hand-over without an answer", "The dispatcher was lost or is not the dispatcher any more; the gate hands the job in again. With `may_run` its tasks may have been started."},
 	{LeaderFollowed, zapcore.InfoLevel, "dispatcher followed", "This entry VM takes another VM, or none, for the dispatcher of a group from now on."},
+	{OffloadSilent, zapcore.WarnLevel, "VM with offloaded jobs silent", "A VM that runs offloaded jobs of this VM's callers replied to no ping for `timeout`; the jobs are given up (504). It has withdrawn them by then."},
 }
 
 var byID = func() map[ID]Entry {
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -68,6 +68,7 @@
 	directory atomic.Pointer[directory]
 	counts    atomic.Pointer[pool.Counts]
 
+	offloads  offloads
 	pingMu    sync.Mutex // guards lastPings
 	lastPings map[vm.ID]time.Time
 
--- /dev/null
+++ b/tamarackpin/internal/group/offload.go
@@ -0,0 +1,171 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/tamarackpin/internal/peer"
+)
+
+// Pings monitor the connection between a gate and each VM to which it offloaded jobs. The
+// other VM withdraws the jobs of a gate that it does not hear, before the caller, whose
+// connection to that gate broke, retries 1.3 s later as the platform states. The gate gives
+// up the jobs at a VM that it does not hear only after that VM has withdrawn them.
+const (
+	pingInterval = 250 * time.Millisecond
+	// maxPingGap is how long the other VM runs an offloaded job without a ping.
+	maxPingGap = 900 * time.Millisecond
+	// silenceTimeout is how long a ping may be without a reply before its VM counts as
+	// silent: maxPingGap, the interval to the last ping that VM received, and the time for
+	// its stops to reach the workers.
+	silenceTimeout = 1500 * time.Millisecond
+)
+
+// offloads holds the VMs that run jobs offloaded by this VM's gate. The zero value has
+// none. It is safe for concurrent use.
+type offloads struct {
+	mu  sync.Mutex // guards vms and the job counts
+	vms map[vm.ID]*pingedVM
+}
+
+// pingedVM is a VM that is pinged while it runs jobs offloaded by this VM's gate.
+type pingedVM struct {
+	jobs   int
+	silent chan struct{} // closed once the VM counts as silent
+	stop   context.CancelFunc
+}
+
+// add counts a job that is offloaded to a VM and returns the VM's pingedVM. The first job
+// starts the pings, with a context that is canceled after the last.
+func (o *offloads) add(id vm.ID, ping func(ctx context.Context, p *pingedVM)) *pingedVM {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p := o.vms[id]
+	if p == nil {
+		if o.vms == nil {
+			o.vms = make(map[vm.ID]*pingedVM)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		p = &pingedVM{silent: make(chan struct{}), stop: stop}
+		o.vms[id] = p
+		go ping(ctx, p)
+	}
+	p.jobs++
+	return p
+}
+
+// remove ends the count of a job that add counted.
+func (o *offloads) remove(id vm.ID, p *pingedVM) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p.jobs--; p.jobs == 0 {
+		p.stop()
+		o.forget(id, p)
+	}
+}
+
+// markSilent wakes the jobs at a silent VM. A job that is offloaded there later starts
+// the pings anew.
+func (o *offloads) markSilent(id vm.ID, p *pingedVM) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	close(p.silent)
+	o.forget(id, p)
+}
+
+// forget removes p unless another pingedVM has replaced it. o.mu is held.
+func (o *offloads) forget(id vm.ID, p *pingedVM) {
+	if o.vms[id] == p {
+		delete(o.vms, id)
+	}
+}
+
+// Offload forwards a job to the dispatcher of another group. It withdraws the job once
+// that VM has been silent for silenceTimeout.
+func (g *Group) Offload(ctx context.Context, to pool.Report, number uint64, r pool.Request) ForwardResult {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p := g.offloads.add(to.VM, func(ctx context.Context, p *pingedVM) { g.pingLoop(ctx, to.VM, p) })
+	defer g.offloads.remove(to.VM, p)
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-p.silent:
+			cancel()
+		}
+	}()
+	return g.Forward(ctx, Leader{VM: to.VM, Group: to.Group, Epoch: to.Epoch}, number, r)
+}
+
+// pingLoop pings a VM until ctx is done or the VM counts as silent. Each ping has a
+// goroutine of its own, so that a slow reply does not delay the next ping.
+func (g *Group) pingLoop(ctx context.Context, id vm.ID, p *pingedVM) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var mu sync.Mutex // guards c
+	var c contact
+	ping := func(sentAt time.Time) {
+		ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
+		defer cancel()
+		if _, err := peer.Call[struct{}](ctx, g.config.Mesh, id, report.UseForward, methodPing, struct{}{}); err != nil {
+			return // the missing reply counts
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		c.replied(sentAt)
+	}
+	for {
+		now := time.Now()
+		mu.Lock()
+		silent := c.isSilent(now)
+		c.sent(now)
+		mu.Unlock()
+		if silent {
+			event.Log(g.config.Log, event.OffloadSilent, zap.String("vm", string(id)), zap.Duration("timeout", silenceTimeout))
+			g.offloads.markSilent(id, p)
+			return
+		}
+		go ping(now)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pingInterval):
+		}
+	}
+}
+
+// servePing records a ping of a gate that has a job offloaded here.
+func (g *Group) servePing(_ context.Context, from vm.ID, _ struct{}) (struct{}, error) {
+	g.pingMu.Lock()
+	defer g.pingMu.Unlock()
+	g.lastPings[from] = time.Now()
+	return struct{}{}, nil
+}
+
+// watchPings returns when the last ping from a gate is older than maxPingGap, or when ctx
+// is done. The time of the call counts as a ping.
+func (g *Group) watchPings(ctx context.Context, from vm.ID) {
+	lastPing := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(maxPingGap - time.Since(lastPing)):
+		}
+		g.pingMu.Lock()
+		if at := g.lastPings[from]; at.After(lastPing) {
+			lastPing = at
+		}
+		g.pingMu.Unlock()
+		if time.Since(lastPing) >= maxPingGap {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/tamarackpin/internal/group/offload_test.go
@@ -0,0 +1,91 @@
+package group
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/tamarackpin/internal/peer"
+)
+
+// otherGroup stands in for the dispatcher of another group: it answers pings after
+// pingLag, and each job as completed after jobTime.
+type otherGroup struct {
+	pingLag, jobTime time.Duration
+	pings            atomic.Int64
+}
+
+// serve starts the stand-in on a loopback address and returns a Group that reaches it.
+func (o *otherGroup) serve(t *testing.T) *Group {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var x peer.Mux
+	peer.Handle(&x, methodPing, func(context.Context, vm.ID, struct{}) (struct{}, error) {
+		o.pings.Add(1)
+		time.Sleep(o.pingLag)
+		return struct{}{}, nil
+	})
+	peer.Handle(&x, methodRun, func(context.Context, vm.ID, forwardRequest) (forwardReply, error) {
+		time.Sleep(o.jobTime)
+		return forwardReply{Answer: pool.Answer{Outcome: job.Completed}, Answered: true, Admitted: true}, nil
+	})
+	peer.Handle(&x, methodWithdraw, func(context.Context, vm.ID, withdrawal) (struct{}, error) { return struct{}{}, nil })
+	s := &peer.Server{Self: "ip-0a000002", Mux: &x, Log: zap.NewNop(), Known: func(vm.ID) bool { return true }}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ctx, l)
+	}()
+	m := &peer.Mesh{Self: "ip-0a000001", Recorder: &report.Recorder{}, FailuresToRedial: 2, Address: func(vm.ID) (string, bool) { return l.Addr().String(), true }}
+	t.Cleanup(func() {
+		m.Close()
+		stop()
+		<-done
+	})
+	g, _, _ := newTestGroup("ip-0a000001", time.Now(), m)
+	return g
+}
+
+// TestSlowGroupKeepsOffloadedJob guards against giving up a job that another group runs
+// because its dispatcher is behind with everything, pings included.
+func TestSlowGroupKeepsOffloadedJob(t *testing.T) {
+	g := (&otherGroup{pingLag: 600 * time.Millisecond, jobTime: 1800 * time.Millisecond}).serve(t)
+	result := g.Offload(t.Context(), pool.Report{VM: "ip-0a000002"}, 1, pool.Request{Job: job.Job{ID: "a"}})
+	if !result.Answered || result.Answer.Outcome != job.Completed {
+		t.Errorf("the job was given up while its group replied late: %+v", result)
+	}
+}
+
+// TestPingsDoNotGrowWithOffloadedJobs guards against a load of pings that itself makes the
+// other VM late: one VM pings another at most once in pingInterval, whatever the number
+// of its jobs there.
+func TestPingsDoNotGrowWithOffloadedJobs(t *testing.T) {
+	const jobs, jobTime = 200, time.Second
+	o := &otherGroup{jobTime: jobTime}
+	g := o.serve(t)
+	done := make(chan ForwardResult)
+	for i := range jobs {
+		go func() {
+			done <- g.Offload(t.Context(), pool.Report{VM: "ip-0a000002"}, uint64(i), pool.Request{Job: job.Job{ID: "a"}})
+		}()
+	}
+	for range jobs {
+		if result := <-done; !result.Answered {
+			t.Errorf("a job had no answer: %v", result.Err)
+		}
+	}
+	if n, most := o.pings.Load(), int64(2*jobTime/pingInterval); n > most {
+		t.Errorf("%d pings for %d jobs of %s, want %d at most", n, jobs, jobTime, most)
+	}
+}
--- a/tamarackpin/internal/peer/mesh.go
+++ b/tamarackpin/internal/peer/mesh.go
@@ -22,8 +22,8 @@
 	dialTimeout  = time.Second
 	redialAfter  = 100 * time.Millisecond // least time between two dials of one entry VM
 	helloTimeout = time.Second
-	// failuresToRedial is how many calls in a row may time out before the
-	// connection is taken for dead, unless the Mesh says otherwise.
+	// failuresToRedial is how many calls in a row may time out, with nothing read
+	// meanwhile, before the connection is taken for dead, unless the Mesh says otherwise.
 	failuresToRedial = 3
 )
 
@@ -38,8 +38,8 @@
 	Address  func(vm.ID) (address string, known bool)
 	TLS      *tls.Config // nil without TLS
 	Recorder *report.Recorder
-	// FailuresToRedial is how many calls in a row may time out before a
-	// connection is taken for dead; 0 is the standard number.
+	// FailuresToRedial is how many calls in a row may time out, with nothing read
+	// meanwhile, before a connection is taken for dead; 0 is the standard number.
 	FailuresToRedial int
 	// WriteTimeout is how long a connection may take nothing before it is taken for
 	// dead; 0 is the standard time. A call that waits for it outlives its context.
@@ -55,9 +55,12 @@
 
 	mu       sync.Mutex // guards all below
 	conn     *jsonrpc2.Conn
+	lastRead func() time.Time // when conn last received bytes
 	dialled  time.Time
-	failures int
+	failures int // calls in a row that timed out with nothing read since silentSince
 	allowed  int // failures in a row
+	// silentSince is when the first of the failures was sent.
+	silentSince time.Time
 }
 
 func (m *Mesh) link(to vm.ID) *link {
@@ -88,6 +91,7 @@
 		return result, errors.Mark(err, ErrNotSent)
 	}
 	m.Recorder.Message(use, 1, 0, len(raw))
+	sentAt := time.Now()
 	err = conn.Call(ctx, string(method), json.RawMessage(raw), &result)
 	var rpc *jsonrpc2.Error
 	if errors.As(err, &rpc) {
@@ -96,7 +100,9 @@
 	}
 	if err != nil {
 		m.Recorder.Message(use, 0, 1, 0)
-		l.failed(conn, errors.Is(err, context.Canceled))
+		if !errors.Is(err, context.Canceled) {
+			l.failed(conn, sentAt)
+		}
 		return result, errors.Wrapf(err, "calling %s of %s", method, to)
 	}
 	l.answered()
@@ -114,8 +120,9 @@
 		return errors.Mark(err, ErrNotSent)
 	}
 	m.Recorder.Message(use, 1, 0, len(raw))
+	sentAt := time.Now()
 	if err := conn.Notify(ctx, string(method), json.RawMessage(raw)); err != nil {
-		l.failed(conn, false)
+		l.failed(conn, sentAt)
 		return errors.Wrapf(err, "notifying %s of %s", method, to)
 	}
 	return nil
@@ -141,14 +148,14 @@
 	if time.Since(dialled) < redialAfter {
 		return nil, nil, errors.Newf("entry VM %s did not answer a moment ago", to)
 	}
-	conn, err := m.dial(ctx, to)
+	conn, lastRead, err := m.dial(ctx, to)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.dialled = time.Now()
 	if err != nil {
 		return nil, nil, err
 	}
-	l.conn, l.failures = conn, 0
+	l.conn, l.lastRead, l.failures = conn, lastRead, 0
 	return conn, l, nil
 }
 
@@ -166,28 +173,30 @@
 	return l.conn, l.dialled
 }
 
-func (m *Mesh) dial(ctx context.Context, to vm.ID) (*jsonrpc2.Conn, error) {
+// dial opens a connection to an entry VM and greets it. lastRead returns when the
+// connection last received bytes.
+func (m *Mesh) dial(ctx context.Context, to vm.ID) (conn *jsonrpc2.Conn, lastRead func() time.Time, err error) {
 	address, ok := "", false
 	if m.Address != nil {
 		address, ok = m.Address(to)
 	}
 	if !ok {
-		return nil, errors.Newf("the address of entry VM %s is not known", to)
+		return nil, nil, errors.Newf("the address of entry VM %s is not known", to)
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	c, err := m.dialTCP(dialCtx, address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "connecting to entry VM %s", to)
+		return nil, nil, errors.Wrapf(err, "connecting to entry VM %s", to)
 	}
-	conn := open(context.Background(), c, cmp.Or(m.WriteTimeout, writeTimeout), silent{})
+	conn, lastRead = open(context.Background(), c, cmp.Or(m.WriteTimeout, writeTimeout), silent{})
 	helloCtx, cancelHello := context.WithTimeout(ctx, helloTimeout)
 	defer cancelHello()
 	if err := conn.Call(helloCtx, string(methodHello), hello{ProtocolVersion, m.Self, to}, nil); err != nil {
 		_ = conn.Close()
-		return nil, errors.Wrapf(err, "greeting entry VM %s", to)
+		return nil, nil, errors.Wrapf(err, "greeting entry VM %s", to)
 	}
-	return conn, nil
+	return conn, lastRead, nil
 }
 
 func (m *Mesh) dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -218,14 +227,19 @@
 	l.failures = 0
 }
 
-// failed closes a connection on which several calls in a row had no answer, so
-// that the next call dials anew.
-func (l *link) failed(conn *jsonrpc2.Conn, byCaller bool) {
+// failed handles a call, sent at sentAt, that had no answer in time. It closes the
+// connection after several such calls in a row, so that the next call dials anew. A VM
+// that is only behind keeps it: bytes that arrived meanwhile show that it is alive, and
+// other calls on the connection wait for its results.
+func (l *link) failed(conn *jsonrpc2.Conn, sentAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn != conn || byCaller {
+	if l.conn != conn {
 		return
 	}
+	if l.failures == 0 || l.lastRead().After(l.silentSince) {
+		l.failures, l.silentSince = 0, sentAt
+	}
 	l.failures++
 	if l.failures >= l.allowed {
 		_ = conn.Close()
--- a/tamarackpin/internal/peer/peer_test.go
+++ b/tamarackpin/internal/peer/peer_test.go
@@ -232,3 +232,53 @@
 	}
 	<-dialling
 }
+
+// TestSlowPeerKeepsItsConnection guards against taking a VM that is merely behind for
+// dead: calls whose time ends before its replies arrive must not close the connection, on
+// which other calls still wait for their results.
+func TestSlowPeerKeepsItsConnection(t *testing.T) {
+	const lag, patience = 300 * time.Millisecond, 200 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var x Mux
+	reply := func(after time.Duration) func(context.Context, vm.ID, echoed) (echoed, error) {
+		return func(_ context.Context, _ vm.ID, e echoed) (echoed, error) {
+			time.Sleep(after)
+			return e, nil
+		}
+	}
+	Handle(&x, "slow", reply(lag))
+	Handle(&x, "long", reply(5*lag))
+	s := &Server{Self: "vm1", Mux: &x, Log: zap.NewNop(), Known: func(vm.ID) bool { return true }}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ctx, l)
+	}()
+	m := &Mesh{Self: "vm0", Address: func(vm.ID) (string, bool) { return l.Addr().String(), true }, Recorder: &report.Recorder{}, FailuresToRedial: 2}
+	t.Cleanup(func() {
+		m.Close()
+		stop()
+		<-done
+	})
+	long := make(chan error, 1)
+	go func() {
+		_, err := Call[echoed](ctx, m, "vm1", report.UseOther, "long", echoed{[]string{"a"}})
+		long <- err
+	}()
+	for range 4 {
+		short, cancel := context.WithTimeout(ctx, patience)
+		_, err := Call[echoed](short, m, "vm1", report.UseOther, "slow", echoed{[]string{"a"}})
+		cancel()
+		if !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("a call with less time than the peer takes: %v", err)
+		}
+		time.Sleep(patience / 2)
+	}
+	if err := <-long; err != nil {
+		t.Errorf("a call that waited for its result beside calls that timed out: %v", err)
+	}
+}
--- a/tamarackpin/internal/peer/server.go
+++ b/tamarackpin/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,7 +61,7 @@
 func (s *Server) start(ctx context.Context, c net.Conn) {
 	session := &session{server: s}
 	gone := make(chan struct{})
-	conn := open(context.WithValue(ctx, disconnected{}, gone), c, writeTimeout, session)
+	conn, _ := open(context.WithValue(ctx, disconnected{}, gone), c, writeTimeout, session)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
@@ -158,25 +159,45 @@
 	_ = conn.Reply(ctx, r.ID, result)
 }
 
-// open starts JSON-RPC on c.
-func open(ctx context.Context, c net.Conn, write time.Duration, h jsonrpc2.Handler) *jsonrpc2.Conn {
+// open starts JSON-RPC on c. lastRead returns when bytes last arrived on it.
+func open(ctx context.Context, c net.Conn, write time.Duration, h jsonrpc2.Handler) (conn *jsonrpc2.Conn, lastRead func() time.Time) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: keepAliveProbes})
 	}
-	stream := jsonrpc2.NewBufferedStream(&timedConn{c, write}, jsonrpc2.VarintObjectCodec{})
-	return jsonrpc2.NewConn(ctx, stream, h, jsonrpc2.SetLogger(discard{}))
+	timed := &timedConn{Conn: c, writeTimeout: write}
+	stream := jsonrpc2.NewBufferedStream(timed, jsonrpc2.VarintObjectCodec{})
+	return jsonrpc2.NewConn(ctx, stream, h, jsonrpc2.SetLogger(discard{})), timed.lastRead
 }
 
 // timedConn bounds each write, so that a peer that stops reading does not hold
-// up its writers for good.
+// up its writers for good, and records when it last read.
 type timedConn struct {
 	net.Conn
-	timeout time.Duration
+	writeTimeout time.Duration
+	readAt       atomic.Pointer[time.Time] // nil before the first read
+}
+
+// Read reads into b and records the time if any bytes arrived.
+func (c *timedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		now := time.Now()
+		c.readAt.Store(&now)
+	}
+	return n, err
+}
+
+// lastRead returns when bytes last arrived, or the zero time.
+func (c *timedConn) lastRead() time.Time {
+	if at := c.readAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 // Write writes b within the timeout.
 func (c *timedConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(b)
