Tables reach VMs as differences, announced by all and fetched once

Each of five control VMs sent it to each of 102 VMs, encoded anew for each; and while a VM was receiving it, every heartbeat of a neighbour with the new version made it fetch the whole state of that neighbour as well. Control VMs went over 336 MB one after the other, and VMs answered by the old table after 3 s.

Change: routes.Delta is the difference between two versions, without the operator's document, which only control VMs need. A sync reply carries it up to 32 changed rows; a larger one is announced, and a VM fetches it once (fleet.tableFetch), from the next announcer if one fails (event 706). It is compressed and encoded once for all receivers. Heartbeats announce too and start one sync at a time. Builds that know no differences get the whole table as before.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,7 @@
 	LeaderLost        ID = 703
 	MemberChanged     ID = 704
 	TailCutOff        ID = 705
+	TableFetchFailed  ID = 706
 	LeadTaken         ID = 801
 	LeadLost          ID = 802
 	JobAnswered       ID = 803
@@ -102,6 +103,7 @@
 	{LeaderLost, zapcore.WarnLevel, "leader lost", "No leader of the control quorum is known; table changes are refused meanwhile."},
 	{MemberChanged, zapcore.InfoLevel, "control member changed", "The voters of the control quorum changed."},
 	{TailCutOff, zapcore.WarnLevel, "tail cut off", "The end of the control log was not whole and was cut off; it had not been acknowledged."},
+	{TableFetchFailed, zapcore.WarnLevel, "table not fetched", "A VM announced a newer table and did not deliver it; the other VMs that announced it are asked, and the older version `held` stays in force meanwhile."},
 	{LeadTaken, zapcore.InfoLevel, "lead taken", "This entry VM orders the workers of this group of its failure domain from now on, under this fence."},
 	{LeadLost, zapcore.WarnLevel, "lead lost", "This entry VM does not order the workers of this group any more; another does, or it drains or was frozen."},
 	{JobAnswered, zapcore.InfoLevel, "job answered", "A caller's job is complete."},
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -5,7 +5,9 @@
 package routes
 
 import (
+	"cmp"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,8 +55,12 @@
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
 
-	// Source is the document that the operator sent, for reading it back.
+	// Source is the document that the operator sent, for reading it back. Only control
+	// VMs hold it.
 	Source []byte `json:"source,omitempty"`
+
+	indexed sync.Once // guards the construction of index
+	index   index
 }
 
 // Check returns an error for a table that cannot be put in force.
@@ -66,12 +72,12 @@
 		}
 		services[s.Name] = true
 	}
-	places := make(map[place]RowName, len(t.Rows))
+	places := make(map[Place]RowName, len(t.Rows))
 	for _, r := range t.Rows {
 		if err := r.check(services); err != nil {
 			return errors.Wrapf(err, "row %s", r.Name)
 		}
-		at := place{r.Host, r.Prefix}
+		at := r.place()
 		if other, taken := places[at]; taken {
 			return errors.Newf("rows %s and %s share host %s and prefix %s", other, r.Name, r.Host, r.Prefix)
 		}
@@ -80,7 +86,17 @@
 	return nil
 }
 
-type place struct{ host, prefix string }
+// Place is where a row applies: a host and a prefix of the path.
+type Place struct {
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"`
+}
+
+func (r Row) place() Place { return Place{r.Host, r.Prefix} }
+
+func (p Place) compare(o Place) int {
+	return cmp.Or(cmp.Compare(p.Host, o.Host), cmp.Compare(p.Prefix, o.Prefix))
+}
 
 func (r Row) check(services map[worker.Service]bool) error {
 	switch {
@@ -104,12 +120,8 @@
 	if t == nil {
 		return nil, "", false
 	}
-	for i := range t.Rows {
-		r := &t.Rows[i]
-		if r.Host == host && strings.HasPrefix(path, r.Prefix) && (row == nil || len(r.Prefix) > len(row.Prefix)) {
-			row = r
-		}
-	}
+	t.indexed.Do(func() { t.index = newIndex(t.Rows) })
+	row = t.index.match(host, path)
 	if row == nil {
 		return nil, "", false
 	}
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -27,8 +27,9 @@
 //
 // It is safe for concurrent use. It must be made by [NewKnowledge].
 type Knowledge struct {
-	log   *zap.Logger
-	table atomic.Pointer[routes.Table]
+	log     *zap.Logger
+	table   atomic.Pointer[routes.Table]
+	history tableHistory // of table
 
 	mu       sync.Mutex // guards the fields below
 	self     vm.Presence
@@ -87,6 +88,7 @@
 	if t == nil || routes.Later(old, t) == old {
 		return false
 	}
+	k.history.add(t)
 	k.table.Store(t)
 	k.notifyChanged()
 	event.Log(k.log, event.TableChanged, zap.Int64("version", int64(t.Version)), zap.Int("rows", len(t.Rows)), zap.String("from", string(from)))
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/routes"
@@ -23,8 +26,13 @@
 // syncRequest asks for what the sender doesn't know. The cursors count changes at
 // one process of the receiver and are 0 at first.
 type syncRequest struct {
-	Self              vm.Presence     `json:"self"`
-	Version           routes.Version  `json:"version"`       // of the sender's table; 0 without one
+	Self    vm.Presence    `json:"self"`
+	Version routes.Version `json:"version"` // of the sender's table; 0 without one
+	// Announced is the newest version that the sender holds or is fetching.
+	Announced routes.Version `json:"announced,omitempty"`
+	// Deltas reports that the sender understands Delta and Version of the reply; builds
+	// that do not get the whole table in each reply.
+	Deltas            bool            `json:"deltas,omitempty"`
 	CursorIncarnation vm.Incarnation  `json:"of,omitempty"`  // of the process that issued the cursors
 	VMCursor          vm.RosterCursor `json:"vms,omitempty"` // changes up to the cursor are known
 	WorkerCursor      worker.Cursor   `json:"workers,omitempty"`
@@ -37,8 +45,12 @@
 // syncReply has the changes after a syncRequest's cursors, and the cursors for the
 // next request. Ages are relative to when the reply was made.
 type syncReply struct {
-	Self         vm.Presence     `json:"self"`
-	Table        *routes.Table   `json:"table,omitempty"`
+	Self  vm.Presence   `json:"self"`
+	Table *routes.Table `json:"table,omitempty"`
+	// Version is that of the sender's table, 0 without one, and Delta the changes from the
+	// requester's version if they are few.
+	Version      routes.Version  `json:"version,omitempty"`
+	Delta        *routes.Delta   `json:"delta,omitempty"`
 	VMs          []agedVM        `json:"vms,omitempty"`
 	VMCursor     vm.RosterCursor `json:"vm_cursor"`
 	Workers      []agedWorker    `json:"workers,omitempty"`
@@ -71,6 +83,7 @@
 		reply, _ := k.changesSince(time.Now(), req)
 		return reply, nil
 	})
+	peer.Handle(x, methodTable, k.serveTable)
 	if k.self.Control {
 		peer.Handle(x, methodSync, func(ctx context.Context, _ vm.ID, req syncRequest) (syncReply, error) { return k.answer(ctx, req), nil })
 	}
@@ -111,9 +124,7 @@
 		req.VMCursor, req.WorkerCursor = 0, 0
 	}
 	reply = syncReply{Self: k.self, VMCursor: k.roster.Cursor(), WorkerCursor: k.registry.Cursor()}
-	if t := k.table.Load(); t != nil && t.Version > req.Version {
-		reply.Table, urgent = t, true
-	}
+	urgent = k.addTable(&reply, req)
 	if d := k.divisions[req.Self.FailureDomain]; d.Epoch > req.Division.Epoch {
 		reply.Division, urgent = d, true
 	}
@@ -138,6 +149,25 @@
 	return reply, urgent
 }
 
+// addTable adds to a reply what the requester lacks of the table, and reports whether that
+// is urgent: an announcement is, unless the requester is fetching that version already.
+func (k *Knowledge) addTable(reply *syncReply, req syncRequest) (urgent bool) {
+	t := k.table.Load()
+	if t == nil || t.Version <= req.Version {
+		return false
+	}
+	if !req.Deltas {
+		reply.Table = t
+		return true
+	}
+	reply.Version = t.Version
+	if t.Version <= req.Announced {
+		return false
+	}
+	reply.Delta = k.history.inline(req.Version)
+	return true
+}
+
 // merge records the reply of another VM. A reply about an earlier incarnation of a
 // worker doesn't affect the current one (issue 17).
 func (k *Knowledge) merge(now time.Time, reply syncReply) {
@@ -158,4 +188,9 @@
 	k.mu.Unlock()
 	k.SetDivision(k.Self().FailureDomain, reply.Division)
 	k.AdoptTable(reply.Table, reply.Self.VM)
+	if reply.Delta != nil && reply.Delta.Version > k.tableVersion() {
+		if err := k.adoptDelta(*reply.Delta, reply.Self.VM); err != nil {
+			k.log.Debug("a change of the table does not apply", zap.String("vm", string(reply.Self.VM)), event.Err(err))
+		}
+	}
 }
--- a/tamarackpin/internal/fleet/syncer.go
+++ b/tamarackpin/internal/fleet/syncer.go
@@ -27,6 +27,9 @@
 	// syncSlack is added to the wait to bound a sync call, and is the whole bound of
 	// a call that doesn't wait.
 	syncSlack = 500 * time.Millisecond
+	// tableTimeout bounds the fetching of a table from one VM: a compressed table of some
+	// thousand rows takes half a second on a link of 2 Mbit/s.
+	tableTimeout = 1500 * time.Millisecond
 	// retryInterval is the pause after a failed sync call.
 	retryInterval = 200 * time.Millisecond
 	// discoveryInterval is how often Run looks for new control VMs.
@@ -40,6 +43,7 @@
 	Mesh      *peer.Mesh
 	Log       *zap.Logger
 
+	table       tableFetch
 	seeds       atomic.Pointer[[]vm.ID]
 	lastContact atomic.Pointer[time.Time] // last reply of any control VM, with a monotonic reading
 }
@@ -116,10 +120,7 @@
 		req.Reports = s.Knowledge.ownReports()
 		req.Division = s.Knowledge.Division(req.Self.FailureDomain)
 		req.Wait = wire.Duration(s.wait())
-		req.Version = 0
-		if t := s.Knowledge.Table(); t != nil {
-			req.Version = t.Version
-		}
+		s.setVersions(&req)
 		reply, err := s.syncOnce(ctx, id, req)
 		if err != nil {
 			if !unreachable && ctx.Err() == nil {
@@ -139,6 +140,7 @@
 		now := time.Now()
 		s.lastContact.Store(&now)
 		s.Knowledge.merge(now, reply)
+		s.TableAnnounced(ctx, id, reply.Version)
 		req.CursorIncarnation, req.VMCursor, req.WorkerCursor = reply.Self.Incarnation, reply.VMCursor, reply.WorkerCursor
 	}
 }
@@ -173,14 +175,34 @@
 	defer cancel()
 	req := syncRequest{Self: s.Knowledge.Self()}
 	req.Division = s.Knowledge.Division(req.Self.FailureDomain)
-	if t := s.Knowledge.Table(); t != nil {
-		req.Version = t.Version
-	}
+	s.setVersions(&req)
 	reply, err := peer.Call[syncReply](ctx, s.Mesh, from, report.UseControl, methodKnown, req)
 	if err != nil {
 		s.Log.Debug("fetching the state of a neighbour failed", zap.String("vm", string(from)), event.Err(err))
 		return false
 	}
 	s.Knowledge.merge(time.Now(), reply)
+	s.TableAnnounced(ctx, from, reply.Version)
 	return true
 }
+
+// setVersions sets what a request says of this VM's table.
+func (s *Syncer) setVersions(req *syncRequest) {
+	req.Deltas, req.Version = true, s.Knowledge.tableVersion()
+	req.Announced = s.table.announced(req.Version)
+}
+
+// fetchTableFrom fetches the changes to the table from another VM and adopts the result.
+func (s *Syncer) fetchTableFrom(ctx context.Context, from vm.ID) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	reply, err := peer.Call[tableReply](ctx, s.Mesh, from, report.UseControl, methodTable, tableRequest{s.Knowledge.tableVersion()})
+	if err != nil {
+		return err
+	}
+	d, err := decodeDelta(reply.Delta)
+	if err != nil {
+		return err
+	}
+	return s.Knowledge.adoptDelta(d, from)
+}
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -144,20 +144,20 @@
 	return g.heartbeat(), nil
 }
 
-// receiveHeartbeat handles a heartbeat or the reply to one. It syncs from the sender if
-// the sender has a newer table, if this VM knows no workers, or if this VM's worker list
-// may be incomplete and the sender's is not.
+// receiveHeartbeat handles a heartbeat or the reply to one. It fetches the sender's table
+// if that is newer, and syncs from the sender if this VM knows no workers, or if its worker
+// list may be incomplete and the sender's is not. One sync runs at a time.
 func (g *Group) receiveHeartbeat(ctx context.Context, hb heartbeat) {
 	now := time.Now()
 	g.recordExchange(now, hb.Self.VM)
 	g.config.Knowledge.ObserveVM(now, hb.Self, 0)
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.applyHeartbeat(now, hb) })
-	t := g.config.Knowledge.Table()
-	tableBehind := hb.Version > 0 && (t == nil || t.Version < hb.Version)
+	g.config.Syncer.TableAnnounced(ctx, hb.Self.VM, hb.Version)
 	canCompleteWorkers := g.workersIncomplete(now) && !hb.WorkersIncomplete
-	if !tableBehind && !canCompleteWorkers && g.config.Knowledge.KnowsWorkers() {
+	if !canCompleteWorkers && g.config.Knowledge.KnowsWorkers() || !g.syncing.CompareAndSwap(false, true) {
 		return
 	}
+	defer g.syncing.Store(false)
 	if g.config.Syncer.FetchFrom(ctx, hb.Self.VM) && canCompleteWorkers {
 		g.workersComplete.Store(true)
 	}
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -76,6 +76,7 @@
 	// fetched from a VM that knows all of them.
 	startedAt       time.Time
 	workersComplete atomic.Bool
+	syncing         atomic.Bool // a sync caused by a heartbeat is running
 
 	exchangeMu    sync.Mutex // guards lastExchanges
 	lastExchanges map[vm.ID]time.Time
