--- a/tamarackpin/internal/keeper/keeper.go
+++ b/tamarackpin/internal/keeper/keeper.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,13 +40,6 @@
 	retryInterval = 50 * time.Millisecond
 )
 
-// entry is one log entry: a table to store, or a barrier, which stores nothing and
-// makes the proposer see the table as of its position in the log.
-type entry struct {
-	Table   *routes.Table `json:"table,omitempty"`
-	Barrier bool          `json:"barrier,omitempty"`
-}
-
 // Config has the dependencies of a Keeper; all fields are required.
 type Config struct {
 	Settings  *settings.Node
@@ -75,7 +67,7 @@
 		Machine: replica.Machine{
 			Apply: k.apply, Restore: k.restore, Led: func(vm.ID) {},
 			Settle:   func(time.Time, *quorum.Core) { c.Knowledge.AdoptTable(k.table, k.self) },
-			Snapshot: func() ([]byte, error) { return json.Marshal(k.table) },
+			Snapshot: func() ([]byte, error) { return encode(k.table) },
 		},
 		Send: func(ctx context.Context, to vm.ID, m quorum.Message) error {
 			return c.Mesh.Notify(ctx, to, report.UseControl, methodMessage, m)
@@ -109,14 +101,14 @@
 	if len(data) == 0 {
 		return nil
 	}
-	return errors.Wrap(json.Unmarshal(data, &k.table), "restoring the table")
+	return errors.Wrap(decode(data, &k.table), "restoring the table")
 }
 
 // apply applies a committed entry and returns the table after it; nil while there is
 // none. A table of the same or a lower version changes nothing.
 func (k *Keeper) apply(_ quorum.Index, data []byte) (any, error) {
 	var e entry
-	if err := json.Unmarshal(data, &e); err != nil {
+	if err := decode(data, &e); err != nil {
 		return nil, errors.Wrap(err, "decoding a table entry")
 	}
 	if e.Table != nil {
@@ -168,7 +160,7 @@
 // proposeLocal proposes e if this member is the leader, and waits until it is
 // applied. After an error with code.TableOutcomeUnsure it may still be applied.
 func (k *Keeper) proposeLocal(ctx context.Context, e entry) (proposalResult, error) {
-	data, err := json.Marshal(e)
+	data, err := encode(e)
 	if err != nil {
 		return proposalResult{}, code.New(code.Internal, "encoding a table: %v", err)
 	}
