Messages of the quorum are bounded in bytes

Cause: a message held up to 256 entries whatever their size, for each member that was behind; with tables of 2,000 rows that is over 200 MB.

Change: one message holds at most 1 MiB of data, or one entry. TestMessagesAreBounded did not compile before (no bound).

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -14,8 +14,12 @@
 	resendAfter     = 500 * time.Millisecond
 )
 
-// maxEntries bounds the entries of one message.
-const maxEntries = 256
+// Bounds of the entries of one message: their number, and the bytes of their data unless
+// it is a single entry.
+const (
+	maxEntries      = 256
+	maxMessageBytes = 1 << 20
+)
 
 // Role is what a member is in its term.
 type Role string
--- a/internal/quorum/log.go
+++ b/internal/quorum/log.go
@@ -35,6 +35,19 @@
 	return append([]Entry(nil), rest[:min(len(rest), count)]...)
 }
 
+// batch returns the entries from i on that fit into one message; at least one if there
+// is any.
+func (l *entryLog) batch(i Index) []Entry {
+	batch := l.from(i, maxEntries)
+	bytes := 0
+	for n, e := range batch {
+		if bytes += len(e.Data); n > 0 && bytes > maxMessageBytes {
+			return batch[:n]
+		}
+	}
+	return batch
+}
+
 func (l *entryLog) append(e ...Entry) { l.entries = append(l.entries, e...) }
 
 // truncate drops entry i and all after it.
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -386,3 +386,31 @@
 		t.Errorf("it takes a proposal: %v", err)
 	}
 }
+
+// TestMessagesAreBounded: a member that is behind by many large entries gets them in
+// messages of bounded size, so that a leader's memory does not grow with the number of
+// members that are behind; an entry larger than the bound is sent alone.
+func TestMessagesAreBounded(t *testing.T) {
+	const entryBytes, entries = maxMessageBytes / 5, 40
+	l := entryLog{}
+	for i := range entries {
+		l.append(Entry{Index: Index(i + 1), Data: make([]byte, entryBytes)})
+	}
+	l.append(Entry{Index: entries + 1, Data: make([]byte, 2*maxMessageBytes)})
+	sent := 0
+	for next := Index(1); next <= l.last(); {
+		batch := l.batch(next)
+		bytes := 0
+		for _, e := range batch {
+			bytes += len(e.Data)
+		}
+		if len(batch) == 0 || bytes > maxMessageBytes && len(batch) > 1 {
+			t.Fatalf("from entry %d: %d entries with %d bytes, want some with %d at most", next, len(batch), bytes, maxMessageBytes)
+		}
+		sent += len(batch)
+		next = batch[len(batch)-1].Index + 1
+	}
+	if sent != entries+1 {
+		t.Errorf("%d entries were sent, want %d", sent, entries+1)
+	}
+}
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -125,7 +125,7 @@
 		}
 		return
 	}
-	entries := c.log.from(p.next, maxEntries)
+	entries := c.log.batch(p.next)
 	if !p.sent.IsZero() && !overdue {
 		entries = nil // a plain heartbeat
 	}
