The garbage collector aims at a share of the VM's memory

Cause: without a limit the heap may grow to twice what is live before it is collected, so a control VM with a burst of large messages reaches its limit with garbage and is killed.

--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -26,6 +26,7 @@
 	StopMax       wire.Duration    `json:"stop_max" min:"0s" max:"10s" doc:"Longest time that a worker takes to stop a task."`
 	ShutdownLimit wire.Duration    `json:"shutdown_limit" min:"1s" max:"10m" doc:"How long a graceful shutdown may take before the process is killed."`
 	Processor     vm.Processor     `json:"processor" optional:"true" doc:"Cores that this VM has: in each failure domain the VM with the most dispatches."`
+	MemoryMB      int              `json:"memory_mb" optional:"true" min:"0" max:"1048576" doc:"Memory that this process may use, in MB: it is kept free of garbage well below that. 0 is no limit."`
 	LogLevel      LogLevel         `json:"log_level" default:"info" doc:"Least level that is logged: debug, info, warn or error."`
 }
 
