A job that has begun keeps its place until it is done

Change: a job of which a task is done or has a worker is served with those in time, by its objective deadline, so before newer ones. The forecast does the same. A job that was forwarded to another dispatcher before, has not begun here and cannot be done while it is of use is given up once all workers have listed their runs, instead of at its caller's deadline.

--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -97,7 +97,9 @@
 // while they are of use. To refuse a job is to answer it as NotRun; a worker's
 // [Refusal] is of an order. An expectedLate job that came from another group, or
 // may go to one and has half of its latency objective left, is refused at once so
-// that it is tried elsewhere. Jobs that may have started are not refused.
+// that it is tried elsewhere. Jobs that may have started are not refused; those that have
+// not begun here and can't be done while they are of use are given up. Jobs that have begun
+// go on, ahead of the others.
 func (p *Pool) shedLoad(now time.Time) {
 	p.lastShedAt = now
 	queue := p.waitingJobs()
@@ -112,6 +114,11 @@
 	var late []*jobState
 	before := make(forecast, len(f))
 	for _, j := range queue {
+		if j.begun() {
+			j.expectedLate = false
+			f.add(p, j)
+			continue
+		}
 		if j.expectedLate = j.deadlineClass(now) > 0; j.expectedLate {
 			late = append(late, j)
 			continue
@@ -124,10 +131,13 @@
 		}
 	}
 	for _, j := range late {
+		outcome := job.NotRun
 		switch {
-		case j.mayHaveStarted:
+		case j.mayHaveStarted && !p.mayStart(now, j):
 			f.add(p, j)
 			continue
+		case j.mayHaveStarted:
+			outcome = job.Abandoned
 		case j.Offloaded, j.CanOffload && now.Sub(j.arrivedAt) < j.objectiveDeadline.Sub(j.arrivedAt)/2:
 			p.answer(now, j, Answer{Outcome: job.NotRun, Reason: "it would be late in this group", RetryAfter: minRetryAfter, TryElsewhere: true})
 			continue
@@ -137,7 +147,7 @@
 		if end.After(limit.Add(shedSlack)) {
 			copy(f, before)
 			p.answer(now, j, Answer{
-				Outcome: job.NotRun, Reason: "the work ahead takes longer than the job is of use",
+				Outcome: outcome, Reason: "the work ahead takes longer than the job is of use",
 				RetryAfter: max(minRetryAfter, end.Sub(limit)),
 			})
 		}
--- a/internal/pool/replay_test.go
+++ b/internal/pool/replay_test.go
@@ -78,8 +78,9 @@
 // factor 1.
 type replayJob struct {
 	Request
-	at   time.Time
-	work []time.Duration
+	at     time.Time
+	work   []time.Duration
+	answer job.Outcome // empty before the answer
 }
 
 // objective returns how long the job may take: its stretch times the longest task,
@@ -132,6 +133,15 @@
 	startedAt, endsAt time.Time
 }
 
+// newReplayWorker returns a worker of the fast kind, or every third of the slow kind.
+func newReplayWorker(i int) *replayWorker {
+	w := &replayWorker{id: worker.ID(fmt.Sprintf("w%02d", i)), factor: 0.7, runs: make(map[job.Task]replayRun)}
+	if i%3 == 2 {
+		w.factor = 1.7
+	}
+	return w
+}
+
 // dispatcher is implemented by the two dispatchers under comparison, Pool and naive.
 type dispatcher interface {
 	Submit(now time.Time, r Request) Admission
@@ -179,10 +189,7 @@
 		latencies: make(map[routes.RowName][]time.Duration), metObjective: make(map[routes.RowName]int), submitted: make(map[routes.RowName]int),
 	}
 	for i := range replayWorkers {
-		w := &replayWorker{id: worker.ID(fmt.Sprintf("w%02d", i)), factor: 0.7, runs: make(map[job.Task]replayRun)}
-		if i%3 == 2 {
-			w.factor = 1.7
-		}
+		w := newReplayWorker(i)
 		if i < p.brokenWorkers {
 			w.unresponsive, w.hangs = p.unresponsive, p.hangs
 			if p.slowdown > 0 {
@@ -273,6 +280,10 @@
 		return
 	}
 	delete(s.jobs, a.Job)
+	j.answer = a.Outcome
+	if s.latencies == nil {
+		return // only the answers are of interest
+	}
 	if a.Outcome != job.Completed {
 		s.refused++
 		return
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -61,7 +61,7 @@
 }
 
 // readyJobs returns the jobs that may start and have waiting tasks, in the order in
-// which they are served: first those that can still meet their objective
+// which they are served: first those that have begun or can still meet their objective
 // deadline, then those expected to miss it, each by that deadline and then by id.
 func (p *Pool) readyJobs(now time.Time) []*jobState {
 	var list []*jobState
@@ -87,9 +87,14 @@
 	return false
 }
 
-// queueClass returns 0 for a job that is expected to meet its objective deadline given
-// the work ahead of it, else 1. Class 0 is served first.
+// queueClass returns 0 for a job that has begun or is expected to meet its objective
+// deadline given the work ahead of it, else 1. Class 0 is served first. A job that has
+// begun keeps its place also when it is late: otherwise new jobs would take each slot, and
+// the work done would be thrown away at its caller's deadline.
 func (j *jobState) queueClass(now time.Time) int {
+	if j.begun() {
+		return 0
+	}
 	if j.expectedLate {
 		return 1
 	}
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"tamarackpin.example/internal/job"
@@ -91,6 +92,11 @@
 	j.remaining = len(j.tasks)
 }
 
+// begun reports whether a task of j is done or has a worker.
+func (j *jobState) begun() bool {
+	return j.remaining < len(j.tasks) || slices.ContainsFunc(j.tasks, (*task).assigned)
+}
+
 // stepReady reports whether every task of the steps that s depends on is done.
 func (j *jobState) stepReady(s *job.Step) bool {
 	for _, a := range s.After {
