--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -15,8 +15,8 @@
 	// the pause of a slow VM.
 	LeaderTimeout = 700 * time.Millisecond
 	// followerTimeout is the same between two followers, which exchange heartbeats
-	// every 600 ms.
-	followerTimeout = 2 * time.Second
+	// every 1.8 s.
+	followerTimeout = 5 * time.Second
 	// probeDuration is how long after the loss of the leader a follower stays a
 	// candidate without a new heartbeat: three heartbeat intervals, which are
 	// 150 ms among all VMs from then on.
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -20,9 +20,10 @@
 	// as dead (lead.LeaderTimeout).
 	leaderExchangeInterval = 150 * time.Millisecond
 	// followerExchangeInterval applies between two VMs neither of which leads, while every
-	// group has a leader: about a third of the time after which such a VM counts as dead (2 s,
-	// followerTimeout of package lead).
-	followerExchangeInterval = 600 * time.Millisecond
+	// group has a leader: about a third of the time after which such a VM counts as dead (5 s,
+	// followerTimeout of package lead). These exchanges grow with the square of the number of
+	// entry VMs of the failure domain.
+	followerExchangeInterval = 1800 * time.Millisecond
 	// exchangeTimeout is under half of lead.LeaderTimeout, after which a leader counts as
 	// dead, so that an unresponsive connection is replaced before then.
 	exchangeTimeout = 250 * time.Millisecond
