A fresh process claims only once it knows the other VMs

Three dispatchers of one failure domain ordered the same workers; each was refused by those that had seen a higher fence and waited a second.

Change: a process claims 0.25 s after its first contact with another VM at the earliest, and after 2 s if it has had none since its start. It counted its start as a contact.

TestRestartOfAllVMsHasOneClaim failed before with three claims, TestFirstClaimWithoutContact with a claim at 0.6 s.

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -311,3 +311,36 @@
 		t.Errorf("claims %+v, want only the first", s.claims)
 	}
 }
+
+// TestRestartOfAllVMsHasOneClaim guards against claims of VMs that do not know each other
+// yet: after a loss of all power they find each other only once control VMs are reached,
+// and each would order the same workers until then (incident inc-2f7e of kartela-print).
+func TestRestartOfAllVMsHasOneClaim(t *testing.T) {
+	const contactAfter = 900 * time.Millisecond
+	s := newSim(3)
+	for i := range s.vms {
+		s.partitioned[i] = true
+	}
+	s.advance(contactAfter)
+	clear(s.partitioned)
+	s.advance(600 * time.Millisecond)
+	s.expectLeader(t, 0, "600 ms after the first contact")
+	if len(s.claims) != 1 {
+		t.Errorf("claims %+v, want one", s.claims)
+	}
+}
+
+// TestFirstClaimWithoutContact: a process that reaches no other VM after its start claims
+// all the same, but later than one that does.
+func TestFirstClaimWithoutContact(t *testing.T) {
+	s := newSim(1)
+	s.partitioned[0] = true
+	s.advance(noContactClaimDelay - 100*time.Millisecond)
+	if len(s.claims) > 0 {
+		t.Errorf("it claimed without any contact within %s", noContactClaimDelay)
+	}
+	s.advance(200 * time.Millisecond)
+	s.expectLeader(t, 0, "without any contact")
+	s.advance(4 * time.Second)
+	s.expectLeader(t, 0, "later without any contact")
+}
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -23,6 +23,14 @@
 	probeDuration = 450 * time.Millisecond
 	// listenDuration is how long a process receives heartbeats before it may claim.
 	listenDuration = 600 * time.Millisecond
+	// settleDuration is how long a process waits after its first contact before it may
+	// claim: the time to learn of the other VMs from that one and to exchange heartbeats
+	// with them.
+	settleDuration = 250 * time.Millisecond
+	// noContactClaimDelay is how long a process that has had no contact since its start
+	// waits before it claims nevertheless: the spread of the starts after a loss of all
+	// power, and the time until control VMs are reached.
+	noContactClaimDelay = 2 * time.Second
 	// maxTickGap is the longest time between two Ticks after which a process still
 	// trusts its state. After a longer pause its claim may have been replaced: the
 	// gap exceeds the shortest lease.
@@ -65,6 +73,8 @@
 // use.
 type Leadership struct {
 	self            vm.Presence
+	startedAt       time.Time // of the process
+	firstContact    time.Time // with another VM since the start; zero before
 	listeningSince  time.Time
 	lastTick        time.Time
 	claim           Claim
@@ -77,14 +87,14 @@
 
 // New returns the Leadership of a process that starts now and knows no peers.
 func New(now time.Time, self vm.Presence) *Leadership {
-	return &Leadership{self: self, listeningSince: now, lastTick: now, lastContact: now, peers: make(map[vm.ID]Peer)}
+	return &Leadership{self: self, startedAt: now, listeningSince: now, lastTick: now, lastContact: now, peers: make(map[vm.ID]Peer)}
 }
 
 // ForDivision returns the Leadership of a group of a new Division with this
 // epoch. It knows the same peers and has no leader.
 func (l *Leadership) ForDivision(epoch Fence) *Leadership {
 	return &Leadership{
-		self: l.self, listeningSince: l.listeningSince, lastTick: l.lastTick, lastContact: l.lastContact, peers: maps.Clone(l.peers),
+		self: l.self, startedAt: l.startedAt, firstContact: l.firstContact, listeningSince: l.listeningSince, lastTick: l.lastTick, lastContact: l.lastContact, peers: maps.Clone(l.peers),
 		highestFence: max(l.highestFence, epoch),
 	}
 }
@@ -202,7 +212,7 @@
 	if l.leaderlessSince.IsZero() {
 		l.leaderlessSince = now
 	}
-	mayClaim := now.Sub(l.listeningSince) >= listenDuration && now.Sub(l.refusedAt) >= refusalBackoff
+	mayClaim := now.Sub(l.listeningSince) >= listenDuration && now.Sub(l.firstContact) >= settleDuration && now.Sub(l.refusedAt) >= refusalBackoff
 	if !mayClaim || !l.hasReliableView(now, controlReplyAt) || !l.isNextLeader(now, o) {
 		return Claim{}, false
 	}
@@ -214,8 +224,12 @@
 // hasReliableView reports whether missing heartbeats of the leader mean that the
 // leader failed, and not that this process is partitioned: another VM was in
 // contact more than leaderLossMargin after the leader. After isolatedClaimDelay
-// without any contact, this process may be the last one and claims.
+// without any contact, or noContactClaimDelay if there was none since the start, this
+// process may be the last one and claims.
 func (l *Leadership) hasReliableView(now, controlReplyAt time.Time) bool {
+	if l.firstContact.IsZero() {
+		return now.Sub(l.startedAt) >= noContactClaimDelay
+	}
 	if now.Sub(l.lastContact) > isolatedClaimDelay {
 		return true
 	}
@@ -233,9 +247,13 @@
 }
 
 // recordContact records contact with another VM at time at. A follower that had
-// no contact for longer than isolationTimeout listens again before it may claim.
+// no contact for longer than isolationTimeout listens again before it may claim; after the
+// first contact since the start, settleDuration is enough.
 func (l *Leadership) recordContact(now, at time.Time) {
-	if at.Sub(l.lastContact) > isolationTimeout && !l.IsLeader() {
+	switch {
+	case l.firstContact.IsZero():
+		l.firstContact = now
+	case at.Sub(l.lastContact) > isolationTimeout && !l.IsLeader():
 		l.listeningSince = now
 	}
 	l.lastContact = at
