The first election of a process does not wait for a whole timeout

Change: the first timeout of a process is 0.2 to 0.4 s and is doubled with each attempt up to the usual one. Pre-votes keep a member that restarts alone from unseating a leader.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -11,7 +11,11 @@
 const (
 	HeartbeatEvery  = 250 * time.Millisecond
 	ElectionTimeout = time.Second // least; up to twice that is drawn
-	resendAfter     = 500 * time.Millisecond
+	// startElectionTimeout is the first ElectionTimeout of a process, doubled with each
+	// attempt: after a loss of all power nobody leads, and callers wait for the table.
+	// Pre-votes keep a member that restarts alone from unseating a leader.
+	startElectionTimeout = 200 * time.Millisecond
+	resendAfter          = 500 * time.Millisecond
 )
 
 // Bounds of the entries of one message: their number, and the bytes of their data unless
@@ -69,9 +73,10 @@
 
 	others   map[Member]*progress
 	votes    map[Member]bool
-	election time.Time // when to stand, unless a leader is heard
-	beat     time.Time // when a leader sends the next heartbeat
-	heard    time.Time // when a leader was last heard
+	election time.Time     // when to stand, unless a leader is heard
+	timeout  time.Duration // least time to the next election; at most ElectionTimeout
+	beat     time.Time     // when a leader sends the next heartbeat
+	heard    time.Time     // when a leader was last heard
 
 	ready Ready
 }
@@ -93,6 +98,7 @@
 	c.commit = max(c.applied, min(saved.Commit, c.log.last()))
 	c.stable = c.log.last()
 	c.config, c.configAt = c.log.config()
+	c.timeout = startElectionTimeout
 	c.resetElection(now)
 	return c
 }
@@ -162,7 +168,7 @@
 }
 
 func (c *Core) resetElection(now time.Time) {
-	wait := ElectionTimeout + time.Duration(c.random()*float64(ElectionTimeout))
+	wait := c.timeout + time.Duration(c.random()*float64(c.timeout))
 	c.election = now.Add(wait)
 }
 
@@ -170,6 +176,7 @@
 func (c *Core) Tick(now time.Time) {
 	if c.role != Leader {
 		if !now.Before(c.election) {
+			c.timeout = min(2*c.timeout, ElectionTimeout)
 			c.resetElection(now)
 			if c.config.Votes(c.self) {
 				c.stand(now, true)
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -36,7 +36,7 @@
 }
 
 func (c *Core) lead(now time.Time) {
-	c.role, c.leader = Leader, c.self
+	c.role, c.leader, c.timeout = Leader, c.self, ElectionTimeout
 	c.others = nil
 	c.track(now)
 	c.beat = now.Add(HeartbeatEvery)
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -414,3 +414,46 @@
 		t.Errorf("%d entries were sent, want %d", sent, entries+1)
 	}
 }
+
+// TestElectionAfterLossOfAllPower: members that all start at the same time elect a leader
+// within a second, in nine of ten runs within half a second (incident inc-2f7e of
+// kartela-print: 1.06 s).
+func TestElectionAfterLossOfAllPower(t *testing.T) {
+	const runs, usual, longest = 100, 500 * time.Millisecond, time.Second
+	slow := 0
+	for seed := range uint64(runs) {
+		w := newWorld(seed, sound)
+		for _, p := range w.peers {
+			p.disk = Saved{HardState: HardState{Term: 1}, Snapshot: w.peers[0].disk.Snapshot}
+			w.boot(p)
+		}
+		w.messages = nil
+		startedAt := w.now
+		leads := func(p *peer) bool { return p.core.Role() == Leader }
+		for !slices.ContainsFunc(w.peers, leads) && w.now.Sub(startedAt) < 5*time.Second {
+			w.now = w.now.Add(10 * time.Millisecond) // also the delay of each message
+			inFlight := w.messages
+			w.messages = nil
+			for _, p := range w.peers {
+				p.core.Tick(w.now)
+				for _, m := range inFlight {
+					p.core.Receive(w.now, m)
+				}
+				r := p.core.Ready()
+				p.save(r)
+				p.core.SaveDone(w.now)
+				w.messages = append(w.messages, r.Messages...)
+			}
+		}
+		took := w.now.Sub(startedAt)
+		if took > usual {
+			slow++
+		}
+		if took > longest {
+			t.Errorf("seed %d: no leader for %s", seed, took)
+		}
+	}
+	if slow > runs/10 {
+		t.Errorf("%d of %d elections took over %s", slow, runs, usual)
+	}
+}
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -38,6 +38,7 @@
 		c.send(Message{Kind: MsgAppendReply, To: m.From})
 		return
 	}
+	c.timeout = ElectionTimeout
 	c.follow(now, m.Term, m.From)
 	c.heard = now
 	if m.Kind == MsgInstall {
