VMs that start before their peers reach them within a quarter of a second

The opening packet was lost, the kernel sends the next one after 1 s, and the dial was given up after 1 s: control VMs were reached 1.2 s after the start. New entry VMs were looked for every 0.3 s only.

Change: on this platform a dial is bounded by 0.25 s (Mesh.DialTimeout), a failed sync is repeated after 0.1 s, and an exchange with a new entry VM begins when it becomes known.

TestDialOfVMWithoutPower did not compile before (no such bound); with the standard bound the call takes a second.

--- a/tamarackpin/internal/fleet/syncer.go
+++ b/tamarackpin/internal/fleet/syncer.go
@@ -31,7 +31,7 @@
 	// thousand rows takes half a second on a link of 2 Mbit/s.
 	tableTimeout = 1500 * time.Millisecond
 	// retryInterval is the pause after a failed sync call.
-	retryInterval = 200 * time.Millisecond
+	retryInterval = 100 * time.Millisecond
 	// discoveryInterval is how often Run looks for new control VMs.
 	discoveryInterval = 300 * time.Millisecond
 )
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -27,7 +27,8 @@
 	// exchangeTimeout is under half of lead.LeaderTimeout, after which a leader counts as
 	// dead, so that an unresponsive connection is replaced before then.
 	exchangeTimeout = 250 * time.Millisecond
-	// peerScanInterval bounds how late the exchange with a new entry VM begins.
+	// peerScanInterval is how often exchangeLoop looks for new entry VMs if nothing
+	// changes.
 	peerScanInterval = 300 * time.Millisecond
 )
 
@@ -59,6 +60,7 @@
 	defer loops.Wait()
 	running := make(map[vm.ID]bool)
 	for {
+		changed := g.config.Knowledge.Changed()
 		for _, p := range g.peers() {
 			if running[p.VM] {
 				continue
@@ -69,6 +71,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-changed: // there may be a new VM
 		case <-time.After(peerScanInterval):
 		}
 	}
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -81,7 +81,7 @@
 	}
 	n := &Node{settings: s, log: log, adapters: a, fatal: make(chan error, 1), Knowledge: fleet.NewKnowledge(self, log)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.mesh = &peer.Mesh{Self: self.VM, Address: n.address, Recorder: &report.Recorder{}, FailuresToRedial: failuresToRedial, WriteTimeout: writeTimeout}
+	n.mesh = &peer.Mesh{Self: self.VM, Address: n.address, Recorder: &report.Recorder{}, FailuresToRedial: failuresToRedial, DialTimeout: dialTimeout, WriteTimeout: writeTimeout}
 	n.syncer = &fleet.Syncer{Knowledge: n.Knowledge, Mesh: n.mesh, Log: log}
 	n.syncer.SetSeeds(s.Founders())
 	n.Knowledge.Serve(&n.mux)
@@ -139,6 +139,11 @@
 // closed: two heartbeat exchanges, before the VM at its other end counts as dead.
 const failuresToRedial = 2
 
+// dialTimeout bounds the opening of a connection to another VM: many round trips within a
+// region. After a loss of all power, VMs start some hundred ms apart and dial each other
+// before all are up.
+const dialTimeout = 250 * time.Millisecond
+
 // writeTimeout closes a connection that accepts no data for as long as a leader may
 // be unresponsive. Jobs in transit to it go to the next leader then.
 const writeTimeout = lead.LeaderTimeout
--- a/tamarackpin/internal/peer/mesh.go
+++ b/tamarackpin/internal/peer/mesh.go
@@ -41,6 +41,9 @@
 	// FailuresToRedial is how many calls in a row may time out, with nothing read
 	// meanwhile, before a connection is taken for dead; 0 is the standard number.
 	FailuresToRedial int
+	// DialTimeout bounds the opening of a connection; 0 is the standard time. A VM that has
+	// no power yet does not answer, and the next try reaches it as soon as it has.
+	DialTimeout time.Duration
 	// WriteTimeout is how long a connection may take nothing before it is taken for
 	// dead; 0 is the standard time. A call that waits for it outlives its context.
 	WriteTimeout time.Duration
@@ -183,7 +186,7 @@
 	if !ok {
 		return nil, nil, errors.Newf("the address of entry VM %s is not known", to)
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, cmp.Or(m.DialTimeout, dialTimeout))
 	defer cancel()
 	c, err := m.dialTCP(dialCtx, address)
 	if err != nil {
--- a/tamarackpin/internal/peer/peer_test.go
+++ b/tamarackpin/internal/peer/peer_test.go
@@ -282,3 +282,33 @@
 		t.Errorf("a call that waited for its result beside calls that timed out: %v", err)
 	}
 }
+
+// TestDialOfVMWithoutPower: opening a connection to a VM that answers nothing takes
+// DialTimeout, so that the next try reaches it soon after it started. The kernel alone
+// sends the next opening packet after a second (incident inc-2f7e of kartela-print).
+func TestDialOfVMWithoutPower(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for range 3 { // fill the queue of connections: further opening packets are dropped
+		if c, err := net.DialTimeout("tcp", address, 50*time.Millisecond); err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}
+	m := &Mesh{Self: "vm0", Address: func(vm.ID) (string, bool) { return address, true }, Recorder: &report.Recorder{}, DialTimeout: 100 * time.Millisecond}
+	begun := time.Now()
+	_, err = Call[echoed](t.Context(), m, "vm1", report.UseOther, "echo", echoed{[]string{"a"}})
+	if took := time.Since(begun); !NotSent(err) || took > 500*time.Millisecond {
+		t.Errorf("a call to a VM that does not answer took %s: %v", took, err)
+	}
+}
