A leader that is behind but answers jobs keeps leading

Each takeover makes every job that waits one that may have run, which can neither be refused nor be told from one that runs.

Change: a reply to a heartbeat counts for 1.4 s; after 0.25 s the next heartbeat is sent and the connection is suspected, as before. Each answer to a forwarded job counts as a sign of life of its leader.

Failed before: TestLeaderThatAnswersKeepsLeading did not compile (no sign of life but heartbeats; the leader is replaced after 0.7 s), and TestLateHeartbeatReplyCounts neither.

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -344,3 +344,26 @@
 	s.advance(4 * time.Second)
 	s.expectLeader(t, 0, "later without any contact")
 }
+
+// TestLeaderThatAnswersKeepsLeading guards against a takeover from a leader that is only
+// slow: in a rush its heartbeats are late by more than LeaderTimeout while it answers jobs
+// (kartela-print-grown, scale-2: 13 leads lost in one failure domain within 16 s).
+func TestLeaderThatAnswersKeepsLeading(t *testing.T) {
+	s := newSim(3)
+	s.advance(1200 * time.Millisecond)
+	s.expectLeader(t, 0, "after the start")
+	s.frozen[0] = true // it sends no heartbeats
+	for range 40 {
+		s.advance(100 * time.Millisecond)
+		for _, l := range s.vms[1:] {
+			l.RecordSignOfLife(s.now, vmID(0), s.now.Add(-50*time.Millisecond))
+		}
+	}
+	if len(s.claims) != 1 {
+		t.Errorf("claims %+v, want only the first", s.claims)
+	}
+	s.advance(LeaderTimeout + 200*time.Millisecond)
+	if len(s.claims) != 2 {
+		t.Errorf("claims %+v, want a second one after the leader stopped answering", s.claims)
+	}
+}
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -125,6 +125,19 @@
 	l.recordContact(now, now)
 }
 
+// RecordSignOfLife records that a peer answered something at time at, as the process that
+// last sent a heartbeat. A leader that is behind with its heartbeats, but answers jobs, is
+// not dead.
+func (l *Leadership) RecordSignOfLife(now time.Time, id vm.ID, at time.Time) {
+	p, known := l.peers[id]
+	if !known || !at.After(p.LastSeen) {
+		return
+	}
+	p.LastSeen = at
+	l.peers[id] = p
+	l.recordContact(now, at)
+}
+
 // RecordClaim records the newest claim that peer from knows. A claim without a VM
 // from the VM that held it means that it stepped down.
 func (l *Leadership) RecordClaim(from vm.ID, c Claim) {
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -16,6 +16,7 @@
 // each leadership acquired. Groups are processed by index, as each election needs the
 // number of leaderless groups before it.
 func (g *Group) tickLeaderships(now time.Time) {
+	g.recordSignsOfLife(now)
 	controlReplyAt := g.config.Syncer.LastContact()
 	others := lead.OtherGroups{GroupsLed: make(map[vm.ID]int)}
 	for _, s := range g.groups {
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"tamarackpin.example/internal/event"
@@ -24,9 +25,13 @@
 	// followerTimeout of package lead). These exchanges grow with the square of the number of
 	// entry VMs of the failure domain.
 	followerExchangeInterval = 1800 * time.Millisecond
-	// exchangeTimeout is under half of lead.LeaderTimeout, after which a leader counts as
-	// dead, so that an unresponsive connection is replaced before then.
+	// exchangeTimeout is how long a heartbeat may be without a reply before the next one is
+	// sent and the connection is suspected: under half of lead.LeaderTimeout, so that a dead
+	// connection is replaced before its leader counts as dead.
 	exchangeTimeout = 250 * time.Millisecond
+	// lateReplyTimeout is how long the reply to a heartbeat counts. It shows that the VM is
+	// alive, and only behind.
+	lateReplyTimeout = 2 * lead.LeaderTimeout
 	// peerScanInterval is how often exchangeLoop looks for new entry VMs if nothing
 	// changes.
 	peerScanInterval = 300 * time.Millisecond
@@ -102,12 +107,11 @@
 			continue
 		}
 		draining = drainingNow
-		answer, err := g.sendHeartbeat(ctx, id)
+		err := g.sendHeartbeat(ctx, id)
 		g.recordExchange(time.Now(), id)
 		switch {
 		case err == nil:
 			unresponsive = false
-			g.receiveHeartbeat(ctx, answer)
 		case !unresponsive && ctx.Err() == nil:
 			unresponsive = true
 			event.Log(g.config.Log, event.VMDead, zap.String("vm", string(id)), event.Err(err))
@@ -136,10 +140,32 @@
 	g.lastExchanges[id] = now
 }
 
-func (g *Group) sendHeartbeat(ctx context.Context, id vm.ID) (heartbeat, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	return peer.Call[heartbeat](ctx, g.config.Mesh, id, report.UseHeartbeat, methodExchange, g.heartbeat())
+// errNoReplyYet is returned by sendHeartbeat if there was no reply within exchangeTimeout.
+var errNoReplyYet = errors.Newf("no reply to a heartbeat within %s", exchangeTimeout)
+
+// sendHeartbeat sends a heartbeat and handles the reply. It waits for that for
+// exchangeTimeout; a later reply is handled when it arrives.
+func (g *Group) sendHeartbeat(ctx context.Context, id vm.ID) error {
+	sentAt := time.Now()
+	done := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, lateReplyTimeout)
+		defer cancel()
+		reply, err := peer.Call[heartbeat](ctx, g.config.Mesh, id, report.UseHeartbeat, methodExchange, g.heartbeat())
+		if err == nil {
+			g.receiveHeartbeat(ctx, reply)
+		}
+		done <- err
+	}()
+	timer := time.NewTimer(exchangeTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-timer.C:
+		g.config.Mesh.Suspect(id, sentAt)
+		return errNoReplyYet
+	}
 }
 
 // serveExchange replies only after the fetch that the heartbeat may cause.
--- /dev/null
+++ b/tamarackpin/internal/group/exchange_test.go
@@ -0,0 +1,54 @@
+package group
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/tamarackpin/internal/peer"
+)
+
+// TestLateHeartbeatReplyCounts: the reply of a VM that is behind arrives after
+// exchangeTimeout; it still shows that the VM is alive.
+func TestLateHeartbeatReplyCounts(t *testing.T) {
+	const lag = 2 * exchangeTimeout
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var x peer.Mux
+	peer.Handle(&x, methodExchange, func(context.Context, vm.ID, heartbeat) (heartbeat, error) {
+		time.Sleep(lag)
+		return heartbeat{Self: vm.Presence{VM: "ip-0a000002", FailureDomain: "a", Incarnation: 1, Callers: true}}, nil
+	})
+	server := &peer.Server{Self: "ip-0a000002", Mux: &x, Log: zap.NewNop(), Known: func(vm.ID) bool { return true }}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(ctx, l)
+	}()
+	m := &peer.Mesh{Self: "ip-0a000001", Recorder: &report.Recorder{}, FailuresToRedial: 2, Address: func(vm.ID) (string, bool) { return l.Addr().String(), true }}
+	t.Cleanup(func() {
+		m.Close()
+		stop()
+		<-done
+	})
+	g, k, _ := newTestGroup("ip-0a000001", time.Now(), m)
+	if err := g.sendHeartbeat(ctx, "ip-0a000002"); !errors.Is(err, errNoReplyYet) {
+		t.Fatalf("a heartbeat whose reply takes %s: %v", lag, err)
+	}
+	known := func() bool { return len(k.VMs(func(vm.Present) bool { return true })) == 1 }
+	for end := time.Now().Add(2 * lag); !known() && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if !known() || g.ring.Len() != 1 {
+		t.Errorf("the late reply was dropped: VM known %v, %d commands queued", known(), g.ring.Len())
+	}
+}
--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -40,6 +40,9 @@
 		reply, err = peer.Call[forwardReply](ctx, g.config.Mesh, to.VM, report.UseForward, methodRun, req)
 	}
 	if err == nil {
+		if reply.Answered && to.VM != g.self.VM {
+			g.recordAnswer(to.VM, time.Now())
+		}
 		return ForwardResult{Answer: reply.Answer, Answered: reply.Answered, MayBeRunning: reply.Admitted}
 	}
 	if peer.NotSent(err) {
@@ -51,6 +54,26 @@
 	return ForwardResult{MayBeRunning: true, Err: err}
 }
 
+// recordAnswer records that another VM answered a job as the leader of its group.
+func (g *Group) recordAnswer(from vm.ID, at time.Time) {
+	g.answerMu.Lock()
+	defer g.answerMu.Unlock()
+	g.lastAnswers[from] = at
+}
+
+// recordSignsOfLife passes the answers of other VMs since its last call to the leader
+// elections. It runs on the goroutine of Run.
+func (g *Group) recordSignsOfLife(now time.Time) {
+	g.answerMu.Lock()
+	defer g.answerMu.Unlock()
+	for id, at := range g.lastAnswers {
+		for _, s := range g.groups {
+			s.leadership.RecordSignOfLife(now, id, at)
+		}
+	}
+	clear(g.lastAnswers)
+}
+
 func (g *Group) notifyWithdrawn(ctx context.Context, leader vm.ID, w withdrawal) {
 	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 	defer cancel()
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -68,7 +68,11 @@
 	directory atomic.Pointer[directory]
 	counts    atomic.Pointer[pool.Counts]
 
-	offloads  offloads
+	offloads offloads
+
+	answerMu    sync.Mutex          // guards lastAnswers
+	lastAnswers map[vm.ID]time.Time // of jobs forwarded to other VMs as leaders
+
 	pingMu    sync.Mutex // guards lastPings
 	lastPings map[vm.ID]time.Time
 
@@ -101,7 +105,7 @@
 	self := c.Knowledge.Self()
 	g := &Group{
 		config: c, self: self, startedAt: now, change: make(chan struct{}), ring: ring.New[command](ringSize),
-		groups: []*groupState{newGroupState(lead.New(now, self))}, lastPings: make(map[vm.ID]time.Time), lastExchanges: make(map[vm.ID]time.Time),
+		groups: []*groupState{newGroupState(lead.New(now, self))}, lastPings: make(map[vm.ID]time.Time), lastAnswers: make(map[vm.ID]time.Time), lastExchanges: make(map[vm.ID]time.Time),
 	}
 	g.directory.Store(&directory{leaders: make([]Leader, 1)})
 	g.registerHandlers(x)
--- a/tamarackpin/internal/peer/mesh.go
+++ b/tamarackpin/internal/peer/mesh.go
@@ -250,6 +250,15 @@
 	}
 }
 
+// Suspect counts a call to an entry VM, sent at sentAt, as one without an answer in time.
+// The call may go on, and its answer still counts.
+func (m *Mesh) Suspect(to vm.ID, sentAt time.Time) {
+	l := m.link(to)
+	if conn, _ := l.open(); conn != nil {
+		l.failed(conn, sentAt)
+	}
+}
+
 // silent serves no calls: they come on connections that the other side opens.
 type silent struct{}
 
