--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -98,8 +98,7 @@
 // [Refusal] is of an order. An expectedLate job that came from another group, or
 // may go to one and has half of its latency objective left, is refused at once so
 // that it is tried elsewhere. Jobs that may have started are not refused; those that have
-// not begun here and can't be done by their callers' deadlines are given up. Jobs that have begun
-// go on, ahead of the others.
+// begun here come first.
 func (p *Pool) shedLoad(now time.Time) {
 	p.lastShedAt = now
 	queue := p.waitingJobs()
@@ -131,22 +130,20 @@
 		}
 	}
 	for _, j := range late {
-		outcome, limit := job.NotRun, j.usefulUntil()
 		switch {
-		case j.mayHaveStarted && !p.mayStart(now, j):
+		case j.mayHaveStarted:
 			f.add(p, j)
 			continue
-		case j.mayHaveStarted:
-			outcome, limit = job.Abandoned, j.callerDeadline
 		case j.Offloaded, j.CanOffload && now.Sub(j.arrivedAt) < j.objectiveDeadline.Sub(j.arrivedAt)/2:
 			p.answer(now, j, Answer{Outcome: job.NotRun, Reason: "it would be late in this group", RetryAfter: minRetryAfter, TryElsewhere: true})
 			continue
 		}
 		copy(before, f)
-		if end := f.add(p, j); end.After(limit.Add(shedSlack)) {
+		end, limit := f.add(p, j), j.usefulUntil()
+		if end.After(limit.Add(shedSlack)) {
 			copy(f, before)
 			p.answer(now, j, Answer{
-				Outcome: outcome, Reason: "the work ahead takes longer than the job is of use",
+				Outcome: job.NotRun, Reason: "the work ahead takes longer than the job is of use",
 				RetryAfter: max(minRetryAfter, end.Sub(limit)),
 			})
 		}
