--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -148,8 +148,8 @@
 	return pool.Answer{}, false
 }
 
-// forward sends the job to the leader and waits for the answer, at most until the leader
-// or its fence changes.
+// forward sends the job to the leader and waits for the answer, at most until another
+// claim supersedes the leader's.
 func (g *Gate) forward(ctx context.Context, leader group.Leader, changed <-chan struct{}, r pool.Request) group.ForwardResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -161,7 +161,7 @@
 			case <-changed:
 			}
 			var current group.Leader
-			if current, changed = g.Group.Leader(r.Job.ID); current.VM != leader.VM || current.Claim.Fence != leader.Claim.Fence {
+			if current, changed = g.Group.Leader(r.Job.ID); supersedes(current, leader) {
 				cancel()
 			}
 		}
@@ -169,6 +169,13 @@
 	return g.Group.Forward(ctx, leader, g.lastCall.Add(1), r)
 }
 
+// supersedes reports whether current leads in the place of leader. A leader whose heartbeats
+// are missing may only be slow: until another VM claims, nobody else can run its jobs, and
+// a job that were withdrawn would count as one that may have run.
+func supersedes(current, leader group.Leader) bool {
+	return current.VM != "" && (current.VM != leader.VM || current.Claim.Fence != leader.Claim.Fence)
+}
+
 // gateAnswer returns the gate's own answer to a job that no dispatcher answered: not run,
 // or abandoned if tasks may have been started. The caller reads the reason.
 func gateAnswer(r pool.Request, reason string) pool.Answer {
