A panic ends one call, one order or one leadership, not the process

No recover stood in the code: a panic in the handler of a peer's call, in the goroutine that owns a group's decisions or in the reply to an order ended the process, with all callers' connections; those of the HTTP handlers were logged at debug level only.

A peer's call is answered as an internal error; an order counts as one without a reply; the decisions of a group cannot be trusted any more, so the VM steps down from what it leads and goes on; an HTTP connection is closed without an answer.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -134,6 +134,20 @@
 // Err returns err as a field of one line, without the stack that it carries.
 func Err(err error) zap.Field { return zap.String("error", err.Error()) }
 
+// Contain keeps a panic from ending the process: it is deferred in a goroutine or handler
+// whose work can be given up alone, and logs the panic as a [Fault] with its stack. onPanic
+// is called then, unless it is nil.
+func Contain(l *zap.Logger, doing string, onPanic func()) {
+	r := recover()
+	if r == nil {
+		return
+	}
+	Log(l, Fault, zap.String("doing", doing), zap.Any("panic", r), zap.Stack("stack"))
+	if onPanic != nil {
+		onPanic()
+	}
+}
+
 // Log writes event id with its text and level.
 func Log(l *zap.Logger, id ID, fields ...zap.Field) {
 	e := byID[id]
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -158,6 +158,10 @@
 	}
 }
 
+// StepDown gives up the lead, if this process has it, because it cannot go on; it waits as
+// after a refusal before it claims again.
+func (l *Leadership) StepDown(now time.Time) { l.RecordRefusal(now, l.claim.Fence) }
+
 // Drain marks the process as draining: peers that do not drain may claim in its
 // place, and it leads until one of them does.
 func (l *Leadership) Drain() { l.self.Draining = true }
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -146,16 +146,33 @@
 			}
 			return
 		case c := <-g.ring.Out():
-			c(g, time.Now())
+			g.contain("a command", c)
 			g.runQueued()
 		case <-tick.C:
-			g.tick(time.Now())
+			g.contain("a tick", (*Group).tick)
 			tick.Reset(g.tickInterval())
 		}
-		g.applyDecisions(ctx, time.Now())
+		g.contain("sending decisions", func(g *Group, now time.Time) { g.applyDecisions(ctx, now) })
 	}
 }
 
+// contain runs c. If it panics, the state of the pools cannot be trusted: this VM steps
+// down from all groups that it leads, and other VMs take over as from a lost leader. The
+// rest of the process goes on, above all the gate with its callers' jobs.
+func (g *Group) contain(doing string, c command) {
+	defer event.Contain(g.config.Log, doing, func() {
+		now := time.Now()
+		for _, s := range g.groups {
+			if s.pool != nil {
+				s.leadership.StepDown(now)
+				s.dropPool()
+			}
+		}
+		g.publish(now)
+	})
+	c(g, time.Now())
+}
+
 // tickInterval returns the time until the next tick. Pools, which only a leader has, need
 // the shorter one.
 func (g *Group) tickInterval() time.Duration {
@@ -171,7 +188,7 @@
 	for range ringSize {
 		select {
 		case c := <-g.ring.Out():
-			c(g, time.Now())
+			g.contain("a command", c)
 		default:
 			return
 		}
@@ -264,12 +281,18 @@
 	g.counts.Store(&total)
 }
 
+// call sends an order to its worker. A panic counts as a missing reply.
+func (g *Group) call(ctx context.Context, o pool.Order) (r pool.Reply) {
+	defer event.Contain(g.config.Log, "sending an order", func() { r = pool.Reply{} })
+	return g.config.Call(ctx, o)
+}
+
 // sendOrder sends one order and queues its reply for the pool that has the order's fence;
 // if that is gone, the reply is ignored.
 func (g *Group) sendOrder(ctx context.Context, o pool.Order) {
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+pool.OrderTimeout)
 	defer cancel()
-	r := g.config.Call(callCtx, o)
+	r := g.call(callCtx, o)
 	r.Order = o
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) {
 		i := slices.IndexFunc(g.groups, func(s *groupState) bool { return s.pool != nil && s.leadership.Claim().Fence == o.Fence })
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -197,6 +197,8 @@
 		if n.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		// The connection is closed without an answer: whether a job has run is not known.
+		defer event.Contain(n.log, "serving "+r.Method+" "+r.URL.Path, func() { panic(http.ErrAbortHandler) })
 		h.ServeHTTP(w, r)
 	})
 }
--- a/tamarackpin/internal/peer/peer_test.go
+++ b/tamarackpin/internal/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"tamarackpin.example/internal/code"
 	"tamarackpin.example/internal/report"
@@ -312,3 +313,44 @@
 		t.Errorf("a call to a VM that does not answer took %s: %v", took, err)
 	}
 }
+
+// TestPanicInHandlerEndsOneCall: a handler that panics answers its call with an internal
+// error; the process, the connection and other calls go on.
+func TestPanicInHandlerEndsOneCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var x Mux
+	Handle(&x, "echo", func(_ context.Context, _ vm.ID, e echoed) (echoed, error) { return e, nil })
+	Handle(&x, "index", func(_ context.Context, _ vm.ID, e echoed) (echoed, error) {
+		return echoed{[]string{e.Texts[len(e.Texts)]}}, nil
+	})
+	core, logs := observer.New(zap.ErrorLevel)
+	s := &Server{Self: "vm1", Mux: &x, Log: zap.New(core), Known: func(vm.ID) bool { return true }}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ctx, l)
+	}()
+	m := &Mesh{Self: "vm0", Address: func(vm.ID) (string, bool) { return l.Addr().String(), true }, Recorder: &report.Recorder{}}
+	t.Cleanup(func() {
+		m.Close()
+		stop()
+		<-done
+	})
+	if err := m.Notify(ctx, "vm1", report.UseOther, "index", echoed{[]string{"a"}}); err != nil {
+		t.Errorf("a notification: %v", err)
+	}
+	_, err = Call[echoed](ctx, m, "vm1", report.UseOther, "index", echoed{[]string{"a"}})
+	if e, ok := Refusal(err); !ok || e.Code != code.Internal {
+		t.Errorf("a call whose handler panics: %v", err)
+	}
+	if _, err := Call[echoed](ctx, m, "vm1", report.UseOther, "echo", echoed{[]string{"a"}}); err != nil {
+		t.Errorf("the call after it: %v", err)
+	}
+	if logs.Len() != 2 {
+		t.Errorf("%d faults were logged, want 2", logs.Len())
+	}
+}
--- a/tamarackpin/internal/peer/server.go
+++ b/tamarackpin/internal/peer/server.go
@@ -124,15 +124,23 @@
 	}
 	if r.Notif {
 		// Notifications are short; in turn they keep their order.
-		_, _ = serve(ctx, from, *r.Params)
+		_, _ = s.serve(ctx, serve, from, r)
 		return
 	}
 	go func() {
-		result, err := serve(ctx, from, *r.Params)
+		result, err := s.serve(ctx, serve, from, r)
 		s.reply(ctx, conn, r, result, err)
 	}()
 }
 
+// serve answers one call. A panic is answered as an internal error.
+func (s *session) serve(ctx context.Context, serve serve, from vm.ID, r *jsonrpc2.Request) (result any, err error) {
+	defer event.Contain(s.server.Log, "serving "+r.Method, func() {
+		result, err = nil, code.New(code.Internal, "serving %s failed", r.Method)
+	})
+	return serve(ctx, from, *r.Params)
+}
+
 func (s *session) hello(r *jsonrpc2.Request) error {
 	var h hello
 	if r.Params == nil || wire.DecodeStrict(*r.Params, &h) != nil || h.Check() != nil {
