The forecast of a rush does not run at each arrival

Cause: each arrival that waits made a forecast of all pending jobs, and each comparison of the sort that serves them asked for a job's class anew, which looks at its tasks.

TestLoadIsShedSeldomInARush failed before (500 runs in 0.5 s).

--- a/internal/pool/begun_test.go
+++ b/internal/pool/begun_test.go
@@ -99,3 +99,32 @@
 		t.Errorf("%d of %d jobs were answered", completed, sent)
 	}
 }
+
+// TestLoadIsShedSeldomInARush: with a thousand jobs pending and one arriving each
+// millisecond, the work ahead is forecast about every 50 ms and not at each arrival, whose
+// cost would grow with the square of the jobs.
+func TestLoadIsShedSeldomInARush(t *testing.T) {
+	h := newHarness(t, 40)
+	submit := func(id string) {
+		r := request(id, 2, time.Second)
+		r.RemainingWait, r.Latency = time.Hour, time.Hour
+		h.pool.Submit(h.now, r)
+	}
+	for i := range 1000 {
+		submit(fmt.Sprint("waiting-", i))
+	}
+	runs, last := 0, h.pool.lastShedAt
+	for i := range 500 {
+		h.now = h.now.Add(time.Millisecond)
+		submit(fmt.Sprint("rush-", i))
+		if i%20 == 0 {
+			h.pool.Tick(h.now)
+		}
+		if h.pool.lastShedAt != last {
+			runs, last = runs+1, h.pool.lastShedAt
+		}
+	}
+	if runs < 8 || runs > 15 {
+		t.Errorf("load was shed %d times in 0.5 s, want about 10", runs)
+	}
+}
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -37,8 +37,8 @@
 		p.adopt(j)
 	}
 	p.scheduleTasks(now)
-	if j.hasWaitingTasks() {
-		p.shedLoad(now)
+	if j.hasWaitingTasks() && now.Sub(p.lastShedAt) >= p.shedGap() {
+		p.shedLoad(now) // otherwise within shedInterval
 	}
 	return j.admission
 }
--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -24,6 +24,20 @@
 	usefulFactor = 3
 )
 
+const (
+	// fewJobs is the number of pending jobs up to which load is shed at each arrival.
+	fewJobs = 64
+	// shedGapPerJob is the least time between two runs of shedLoad, for each pending job
+	// beyond that: their cost grows with the jobs, and the arrivals of a rush would take all
+	// of a dispatcher's processor. It is far below what an objective allows.
+	shedGapPerJob = 50 * time.Microsecond
+)
+
+// shedGap returns the least time between two runs of shedLoad caused by arrivals.
+func (p *Pool) shedGap() time.Duration {
+	return min(shedInterval, time.Duration(max(0, len(p.jobs)-fewJobs))*shedGapPerJob)
+}
+
 // slot is capacity for one task on a worker.
 type slot struct {
 	freeAt time.Time // when the task that has it is expected to end
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -18,7 +18,7 @@
 		return
 	}
 	for _, j := range p.readyJobs(now) {
-		if !p.scheduleJob(now, candidates, j) {
+		if !p.scheduleJob(now, candidates, j.jobState) {
 			return
 		}
 	}
@@ -63,19 +63,25 @@
 // readyJobs returns the jobs that may start and have waiting tasks, in the order in
 // which they are served: first those that have begun or can still meet their objective
 // deadline, then those expected to miss it, each by that deadline and then by id.
-func (p *Pool) readyJobs(now time.Time) []*jobState {
-	var list []*jobState
+func (p *Pool) readyJobs(now time.Time) []readyJob {
+	var list []readyJob
 	for _, j := range p.jobs {
 		if !j.closed && j.hasWaitingTasks() && p.mayStart(now, j) {
-			list = append(list, j)
+			list = append(list, readyJob{j, j.queueClass(now)})
 		}
 	}
-	slices.SortFunc(list, func(a, b *jobState) int {
-		return cmp.Or(cmp.Compare(a.queueClass(now), b.queueClass(now)), a.objectiveDeadline.Compare(b.objectiveDeadline), cmp.Compare(a.Job.ID, b.Job.ID))
+	slices.SortFunc(list, func(a, b readyJob) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), a.objectiveDeadline.Compare(b.objectiveDeadline), cmp.Compare(a.Job.ID, b.Job.ID))
 	})
 	return list
 }
 
+// readyJob is a job with its queueClass, which is too costly for each comparison.
+type readyJob struct {
+	*jobState
+	class int
+}
+
 // hasWaitingTasks reports whether a task of j is in phase waiting, even if its step
 // is not ready.
 func (j *jobState) hasWaitingTasks() bool {
