A VM that is behind neither claims nor steps down for its own delay

The VMs that claimed were behind themselves: heartbeats waited unread while their clocks went on, so the leader's silence was their own. And a leader executes up to 4,096 queued commands before its next tick; after 0.5 s without one it steps down.

TestVMThatIsBehindDoesNotClaim failed before.

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -367,3 +367,31 @@
 		t.Errorf("claims %+v, want a second one after the leader stopped answering", s.claims)
 	}
 }
+
+// TestVMThatIsBehindDoesNotClaim guards against a takeover by a VM that is itself behind:
+// it runs seldom and reads the leader's heartbeats late (kartela-print-grown, scale-2: two
+// groups changed their leaders for seven seconds).
+func TestVMThatIsBehindDoesNotClaim(t *testing.T) {
+	const leader, behind = 0, 1
+	for _, c := range []struct {
+		tickEvery time.Duration
+		claims    bool
+	}{{tickInterval, true}, {350 * time.Millisecond, false}} {
+		s := newSim(2)
+		s.advance(1200 * time.Millisecond)
+		s.expectLeader(t, leader, "after the start")
+		l, claimed := s.vms[behind], false
+		for at := time.Duration(0); at < 6*time.Second; at += c.tickEvery {
+			s.now = s.now.Add(c.tickEvery)
+			// A heartbeat is read every 1.05 s, after the tick of that time.
+			_, ok := l.Tick(s.now, s.now, OtherGroups{})
+			claimed = claimed || ok
+			if at%(1050*time.Millisecond) < c.tickEvery {
+				l.RecordHeartbeat(s.now, s.vms[leader].self)
+			}
+		}
+		if claimed != c.claims {
+			t.Errorf("with a tick every %s it claimed: %v, want %v", c.tickEvery, claimed, c.claims)
+		}
+	}
+}
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -35,6 +35,9 @@
 	// trusts its state. After a longer pause its claim may have been replaced: the
 	// gap exceeds the shortest lease.
 	maxTickGap = 500 * time.Millisecond
+	// maxTickDelay is the longest usual time between two Ticks. What exceeds it is time in
+	// which this process did not run and could not read heartbeats either.
+	maxTickDelay = 100 * time.Millisecond
 	// refusalBackoff is how long a leader whose fence a worker refused waits for a
 	// heartbeat with the higher claim before it claims again.
 	refusalBackoff = time.Second
@@ -212,6 +215,7 @@
 // may run, and does not take over from a leader that may be alive.
 func (l *Leadership) Tick(now, controlReplyAt time.Time, o OtherGroups) (claim Claim, claimed bool) {
 	paused := now.Sub(l.lastTick) > maxTickGap
+	l.excuseSilence(now, now.Sub(l.lastTick)-maxTickDelay)
 	l.lastTick = now
 	if controlReplyAt.After(l.lastContact) {
 		l.recordContact(now, controlReplyAt)
@@ -238,6 +242,23 @@
 	return l.claim, true
 }
 
+// excuseSilence takes a delay of this process off the silence of all other VMs. On a VM
+// that is behind, heartbeats wait unread, and it must not replace a leader for that.
+func (l *Leadership) excuseSilence(now time.Time, delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
+	for id, p := range l.peers {
+		if p.LastSeen = p.LastSeen.Add(delay); p.LastSeen.After(now) {
+			p.LastSeen = now
+		}
+		l.peers[id] = p
+	}
+	if l.lastContact = l.lastContact.Add(delay); l.lastContact.After(now) {
+		l.lastContact = now
+	}
+}
+
 // hasReliableView reports whether missing heartbeats of the leader mean that the
 // leader failed, and not that this process is partitioned: another VM was in
 // contact more than leaderLossMargin after the leader. After isolatedClaimDelay
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -38,6 +38,9 @@
 	// followerTickInterval applies while this VM leads no group. A takeover starts at a
 	// tick, so it is short against lead.LeaderTimeout, after which a leader counts as dead.
 	followerTickInterval = 60 * time.Millisecond
+	// maxBatchTime is how long queued commands are executed before orders are sent and
+	// ticks run.
+	maxBatchTime = leaderTickInterval
 	// workerUpdateInterval is how often new worker announcements are polled into the pools,
 	// which are not notified of them.
 	workerUpdateInterval = 200 * time.Millisecond
@@ -183,9 +186,10 @@
 }
 
 // runQueued executes the commands that are queued already, so that orders are sent only
-// after all of them have been considered.
+// after all of them have been considered. It returns after maxBatchTime, so that ticks are
+// not late when the dispatcher is behind: a leader whose ticks stop steps down.
 func (g *Group) runQueued() {
-	for range ringSize {
+	for startedAt := time.Now(); time.Since(startedAt) < maxBatchTime; {
 		select {
 		case c := <-g.ring.Out():
 			g.contain("a command", c)
