A claim is a sign of life of the VM that made it

Cause: since followers exchange heartbeats every 1.8 s, a VM that learned of a follower's claim from a third VM had often not heard that follower for over 0.7 s, took it for dead and claimed itself.

Change: the holder of a claim counts as alive for LeaderTimeout after the claim became known. The simulated VMs of package lead exchange as seldom as the real ones now (every 1.92 s instead of 0.64 s).

TestClaimOfSeldomHeardFollowerIsFollowed failed before.

--- a/internal/lead/division_test.go
+++ b/internal/lead/division_test.go
@@ -86,7 +86,7 @@
 					for j, o := range leaderships {
 						if i != j && !dead[j] && now.UnixMilli()%160 == 0 {
 							o[g].RecordHeartbeat(now, l.self)
-							o[g].RecordClaim(vmID(i), l.Claim())
+							o[g].RecordClaim(now, vmID(i), l.Claim())
 						}
 					}
 				}
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -46,7 +46,7 @@
 				continue
 			}
 			if s.now.UnixMilli()%160 == 0 {
-				s.sendHeartbeats(i, l, s.now.UnixMilli()%640 == 0)
+				s.sendHeartbeats(i, l, s.now.UnixMilli()%1920 == 0)
 			}
 			if !s.partitioned[i] {
 				s.controlReplyAt[i] = s.now
@@ -70,7 +70,7 @@
 			continue
 		}
 		o.RecordHeartbeat(s.now, l.self)
-		o.RecordClaim(vmID(i), l.Claim())
+		o.RecordClaim(s.now, vmID(i), l.Claim())
 	}
 }
 
@@ -395,3 +395,31 @@
 		}
 	}
 }
+
+// TestClaimOfSeldomHeardFollowerIsFollowed guards against two VMs that take the lead from
+// each other: followers exchange heartbeats seldom, so the claim of one may become known
+// from a third VM, when its holder was not heard for longer than LeaderTimeout
+// (kartela-print-grown, scale-2: 20 claims of one group within 1.3 s).
+func TestClaimOfSeldomHeardFollowerIsFollowed(t *testing.T) {
+	startedAt := time.Unix(1_700_000_000, 0)
+	now := startedAt
+	l := New(now, vm.Presence{VM: vmID(0), Incarnation: 1})
+	follower, leader := vm.Presence{VM: vmID(1), Incarnation: 1}, vm.Presence{VM: vmID(2), Incarnation: 1}
+	l.RecordHeartbeat(now, follower)
+	l.RecordHeartbeat(now, leader)
+	l.RecordClaim(now, vmID(2), Claim{VM: vmID(2), Incarnation: 1, Fence: 1 << 59})
+	tick := func() {
+		now = now.Add(tickInterval)
+		l.RecordHeartbeat(now, leader)
+		if c, claimed := l.Tick(now, now, OtherGroups{}); claimed {
+			t.Fatalf("after %s: claim %+v", now.Sub(startedAt), c)
+		}
+	}
+	for range 75 { // 1.5 s with heartbeats of the leader only
+		tick()
+	}
+	l.RecordClaim(now, vmID(2), Claim{VM: vmID(1), Incarnation: 1, Fence: 1 << 60})
+	for range 10 {
+		tick()
+	}
+}
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -81,6 +81,7 @@
 	listeningSince  time.Time
 	lastTick        time.Time
 	claim           Claim
+	claimedAt       time.Time // when claim became known, a sign of life of its holder
 	highestFence    Fence     // highest fence known, including refused ones
 	leaderlessSince time.Time // when NeedsLeader became true; zero while it is false
 	refusedAt       time.Time
@@ -143,10 +144,10 @@
 
 // RecordClaim records the newest claim that peer from knows. A claim without a VM
 // from the VM that held it means that it stepped down.
-func (l *Leadership) RecordClaim(from vm.ID, c Claim) {
+func (l *Leadership) RecordClaim(now time.Time, from vm.ID, c Claim) {
 	l.highestFence = max(l.highestFence, c.Fence)
 	if c.Fence > l.claim.Fence || c.Fence == l.claim.Fence && from == l.claim.VM && c.VM == "" {
-		l.claim = c
+		l.claim, l.claimedAt = c, now
 		l.refusedAt = time.Time{}
 	}
 }
@@ -195,9 +196,12 @@
 	return !hasLeader || !l.self.Draining && l.peers[leader].Draining
 }
 
+// alive reports whether the holder of the newest claim is alive. The claim may have become
+// known from another VM, and its holder have been a follower until then, with which
+// heartbeats are seldom exchanged.
 func (l *Leadership) alive(now time.Time, id vm.ID, i vm.Incarnation) bool {
 	p, ok := l.peers[id]
-	return ok && p.Incarnation == i && now.Sub(p.LastSeen) < LeaderTimeout
+	return ok && p.Incarnation == i && min(now.Sub(p.LastSeen), now.Sub(l.claimedAt)) < LeaderTimeout
 }
 
 // OtherGroups summarizes the elections of the other groups of the failure domain.
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -202,7 +202,7 @@
 	for i, s := range g.groups {
 		s.leadership.RecordHeartbeat(now, hb.Self)
 		if hb.Division.Epoch == g.division.Epoch && i < len(hb.Claims) {
-			s.leadership.RecordClaim(hb.Self.VM, hb.Claims[i])
+			s.leadership.RecordClaim(now, hb.Self.VM, hb.Claims[i])
 		}
 	}
 }
