--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -129,19 +129,6 @@
 	l.recordContact(now, now)
 }
 
-// RecordSignOfLife records that a peer answered something at time at, as the process that
-// last sent a heartbeat. A leader that is behind with its heartbeats, but answers jobs, is
-// not dead.
-func (l *Leadership) RecordSignOfLife(now time.Time, id vm.ID, at time.Time) {
-	p, known := l.peers[id]
-	if !known || !at.After(p.LastSeen) {
-		return
-	}
-	p.LastSeen = at
-	l.peers[id] = p
-	l.recordContact(now, at)
-}
-
 // RecordClaim records the newest claim that peer from knows. A claim without a VM
 // from the VM that held it means that it stepped down.
 func (l *Leadership) RecordClaim(now time.Time, from vm.ID, c Claim) {
@@ -196,14 +183,6 @@
 	return !hasLeader || !l.self.Draining && l.peers[leader].Draining
 }
 
-// alive reports whether the holder of the newest claim is alive. The claim may have become
-// known from another VM, and its holder have been a follower until then, with which
-// heartbeats are seldom exchanged.
-func (l *Leadership) alive(now time.Time, id vm.ID, i vm.Incarnation) bool {
-	p, ok := l.peers[id]
-	return ok && p.Incarnation == i && min(now.Sub(p.LastSeen), now.Sub(l.claimedAt)) < LeaderTimeout
-}
-
 // OtherGroups summarizes the elections of the other groups of the failure domain.
 type OtherGroups struct {
 	GroupsLed        map[vm.ID]int // number of groups that each VM leads
@@ -246,23 +225,6 @@
 	return l.claim, true
 }
 
-// excuseSilence takes a delay of this process off the silence of all other VMs. On a VM
-// that is behind, heartbeats wait unread, and it must not replace a leader for that.
-func (l *Leadership) excuseSilence(now time.Time, delay time.Duration) {
-	if delay <= 0 {
-		return
-	}
-	for id, p := range l.peers {
-		if p.LastSeen = p.LastSeen.Add(delay); p.LastSeen.After(now) {
-			p.LastSeen = now
-		}
-		l.peers[id] = p
-	}
-	if l.lastContact = l.lastContact.Add(delay); l.lastContact.After(now) {
-		l.lastContact = now
-	}
-}
-
 // hasReliableView reports whether missing heartbeats of the leader mean that the
 // leader failed, and not that this process is partitioned: another VM was in
 // contact more than leaderLossMargin after the leader. After isolatedClaimDelay
@@ -288,34 +250,6 @@
 	return now.Sub(leader.LastSeen) < LeaderTimeout || otherSeenAt.Sub(leader.LastSeen) > leaderLossMargin
 }
 
-// recordContact records contact with another VM at time at. A follower that had
-// no contact for longer than isolationTimeout listens again before it may claim; after the
-// first contact since the start, settleDuration is enough.
-func (l *Leadership) recordContact(now, at time.Time) {
-	switch {
-	case l.firstContact.IsZero():
-		l.firstContact = now
-	case at.Sub(l.lastContact) > isolationTimeout && !l.IsLeader():
-		l.listeningSince = now
-	}
-	l.lastContact = at
-}
-
-// isolated reports whether this process had no contact for so long that a peer
-// may have claimed. Peers that drain do not count. After isolatedClaimDelay the
-// process may lead without contact.
-func (l *Leadership) isolated(now time.Time) bool {
-	if since := now.Sub(l.lastContact); since <= isolationTimeout || since > isolatedClaimDelay {
-		return false
-	}
-	for _, p := range l.peers {
-		if !p.Draining {
-			return true
-		}
-	}
-	return false
-}
-
 // isNextLeader reports whether this process is the candidate that should claim.
 // Groups without a leader are assigned to the candidates in the order of
 // compareCandidates, one to each.
@@ -337,27 +271,3 @@
 func (o OtherGroups) compareCandidates(a, b vm.Presence) int {
 	return cmp.Or(cmp.Compare(o.GroupsLed[a.VM], o.GroupsLed[b.VM]), cmp.Compare(b.Processor, a.Processor), cmp.Compare(a.VM, b.VM))
 }
-
-// peerTimeout returns the time without a heartbeat after which a peer counts as
-// dead. Without a leader, peers exchange heartbeats more often, so after
-// probeDuration the shorter timeout applies.
-func (l *Leadership) peerTimeout(now time.Time) time.Duration {
-	if !l.leaderlessSince.IsZero() && now.Sub(l.leaderlessSince) >= probeDuration {
-		return LeaderTimeout
-	}
-	return followerTimeout
-}
-
-// LivePeers returns the peers that count as alive, in the order of their ids. For
-// the holder of the newest claim, LeaderTimeout applies.
-func (l *Leadership) LivePeers(now time.Time) []Peer {
-	var live []Peer
-	for _, p := range l.peers {
-		sinceLastSeen := now.Sub(p.LastSeen)
-		if sinceLastSeen < l.peerTimeout(now) && (p.VM != l.claim.VM || sinceLastSeen < LeaderTimeout) {
-			live = append(live, p)
-		}
-	}
-	slices.SortFunc(live, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
-	return live
-}
--- a/tamarackpin/internal/fleet/syncer.go
+++ b/tamarackpin/internal/fleet/syncer.go
@@ -27,9 +27,6 @@
 	// syncSlack is added to the wait to bound a sync call, and is the whole bound of
 	// a call that doesn't wait.
 	syncSlack = 500 * time.Millisecond
-	// tableTimeout bounds the fetching of a table from one VM: a compressed table of some
-	// thousand rows takes half a second on a link of 2 Mbit/s.
-	tableTimeout = 1500 * time.Millisecond
 	// retryInterval is the pause after a failed sync call.
 	retryInterval = 100 * time.Millisecond
 	// discoveryInterval is how often Run looks for new control VMs.
@@ -191,18 +188,3 @@
 	req.Deltas, req.Version = true, s.Knowledge.tableVersion()
 	req.Announced = s.table.announced(req.Version)
 }
-
-// fetchTableFrom fetches the changes to the table from another VM and adopts the result.
-func (s *Syncer) fetchTableFrom(ctx context.Context, from vm.ID) error {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	reply, err := peer.Call[tableReply](ctx, s.Mesh, from, report.UseControl, methodTable, tableRequest{s.Knowledge.tableVersion()})
-	if err != nil {
-		return err
-	}
-	d, err := decodeDelta(reply.Delta)
-	if err != nil {
-		return err
-	}
-	return s.Knowledge.adoptDelta(d, from)
-}
--- a/tamarackpin/internal/fleet/tables.go
+++ b/tamarackpin/internal/fleet/table_history.go
@@ -1,19 +1,12 @@
 package fleet
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
 	"encoding/json"
-	"io"
 	"slices"
 	"sync"
 
-	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
-
 	"tamarackpin.example/internal/code"
-	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/tamarackpin/internal/peer"
@@ -30,9 +23,6 @@
 	// keptTables is how many versions of the table a VM holds, to send the changes from
 	// them to VMs that are behind.
 	keptTables = 4
-	// maxTableBytes bounds a decoded change: the largest table that an operator may send,
-	// with room for the names of the fields.
-	maxTableBytes = 32 << 20
 )
 
 // tableRequest asks for the changes since Version, the sender's table; 0 without one.
@@ -120,27 +110,6 @@
 	return b, nil
 }
 
-func encodeDelta(d routes.Delta) ([]byte, error) {
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "compressing a change of the table")
-	}
-	if err := json.NewEncoder(w).Encode(d); err != nil {
-		return nil, errors.Wrap(err, "encoding a change of the table")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compressing a change of the table")
-	}
-	return b.Bytes(), nil
-}
-
-func decodeDelta(b []byte) (routes.Delta, error) {
-	var d routes.Delta
-	r := io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxTableBytes)
-	return d, errors.Wrap(json.NewDecoder(r).Decode(&d), "decoding a change of the table")
-}
-
 // serveTable returns the changes since the requester's version.
 func (k *Knowledge) serveTable(_ context.Context, _ vm.ID, req tableRequest) (json.RawMessage, error) {
 	return k.history.reply(req.Version)
@@ -164,80 +133,3 @@
 	}
 	return 0
 }
-
-// tableFetch is the state of fetching an announced version of the table, which one
-// goroutine at a time does. It is safe for concurrent use. The zero value fetches nothing.
-type tableFetch struct {
-	mu      sync.Mutex
-	running bool
-	wanted  routes.Version // newest announced version
-	sources []vm.ID        // VMs that announced it and were not asked yet
-}
-
-// announce records that a VM has a version newer than the one held, and reports whether
-// the caller is to fetch it.
-func (f *tableFetch) announce(held, version routes.Version, from vm.ID) (start bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch {
-	case version <= held || f.running && version < f.wanted:
-		return false
-	case f.running && version == f.wanted:
-		if !slices.Contains(f.sources, from) {
-			f.sources = append(f.sources, from)
-		}
-		return false
-	}
-	f.wanted, f.sources = version, []vm.ID{from}
-	start = !f.running
-	f.running = true
-	return start
-}
-
-// next returns the VM to fetch the wanted version from. ok is false, and the fetching has
-// ended, if that version is held or no VM is left to ask.
-func (f *tableFetch) next(held routes.Version) (from vm.ID, ok bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if held >= f.wanted || len(f.sources) == 0 {
-		f.running = false
-		return "", false
-	}
-	from, f.sources = f.sources[0], f.sources[1:]
-	return from, true
-}
-
-// announced returns the newest version that is held or being fetched, about which this VM
-// needs no further announcement.
-func (f *tableFetch) announced(held routes.Version) routes.Version {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.running && f.wanted > held {
-		return f.wanted
-	}
-	return held
-}
-
-// TableAnnounced fetches the table from a VM that has a newer version, unless it is being
-// fetched already. It does not wait for that. Control VMs fetch none: the log of the quorum
-// brings it.
-func (s *Syncer) TableAnnounced(ctx context.Context, from vm.ID, version routes.Version) {
-	if s.Knowledge.Self().Control || !s.table.announce(s.Knowledge.tableVersion(), version, from) {
-		return
-	}
-	go s.fetchTable(context.WithoutCancel(ctx))
-}
-
-// fetchTable fetches the announced version from one VM after the other until it is held. A
-// later announcement starts it again if no VM delivered it.
-func (s *Syncer) fetchTable(ctx context.Context) {
-	for {
-		from, ok := s.table.next(s.Knowledge.tableVersion())
-		if !ok {
-			return
-		}
-		if err := s.fetchTableFrom(ctx, from); err != nil {
-			event.Log(s.Log, event.TableFetchFailed, zap.String("vm", string(from)), zap.Int64("held", int64(s.Knowledge.tableVersion())), event.Err(err))
-		}
-	}
-}
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -159,23 +159,6 @@
 	}
 }
 
-// contain runs c. If it panics, the state of the pools cannot be trusted: this VM steps
-// down from all groups that it leads, and other VMs take over as from a lost leader. The
-// rest of the process goes on, above all the gate with its callers' jobs.
-func (g *Group) contain(doing string, c command) {
-	defer event.Contain(g.config.Log, doing, func() {
-		now := time.Now()
-		for _, s := range g.groups {
-			if s.pool != nil {
-				s.leadership.StepDown(now)
-				s.dropPool()
-			}
-		}
-		g.publish(now)
-	})
-	c(g, time.Now())
-}
-
 // tickInterval returns the time until the next tick. Pools, which only a leader has, need
 // the shorter one.
 func (g *Group) tickInterval() time.Duration {
@@ -285,12 +268,6 @@
 	g.counts.Store(&total)
 }
 
-// call sends an order to its worker. A panic counts as a missing reply.
-func (g *Group) call(ctx context.Context, o pool.Order) (r pool.Reply) {
-	defer event.Contain(g.config.Log, "sending an order", func() { r = pool.Reply{} })
-	return g.config.Call(ctx, o)
-}
-
 // sendOrder sends one order and queues its reply for the pool that has the order's fence;
 // if that is gone, the reply is ignored.
 func (g *Group) sendOrder(ctx context.Context, o pool.Order) {
