A leader that is behind gets no excuse for its own isolation

Cause, found by reading: it took a delay of the process off its own lack of contact as well. A leader that is cut off from all VMs but not from the workers, and whose ticks are 0.4 s late, led on for 4.4 s instead of 1.4 s; a successor starts what it may run 2.2 s after its last heartbeat, on workers that the successor does not reach the task would then run twice.

Change: only a VM that does not lead is excused. TestIsolatedLeaderThatIsBehindStepsDownInTime failed before (4.4 s).

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -423,3 +423,21 @@
 		tick()
 	}
 }
+
+// TestIsolatedLeaderThatIsBehindStepsDownInTime: a leader without contact steps down in
+// time also if it runs seldom. Its own delay is no reason to lead on: another VM may have
+// claimed, and starts what this one may run.
+func TestIsolatedLeaderThatIsBehindStepsDownInTime(t *testing.T) {
+	const tickEvery = 400 * time.Millisecond
+	s := newSim(3)
+	s.advance(1200 * time.Millisecond)
+	s.expectLeader(t, 0, "after the start")
+	l, lastContact := s.vms[0], s.now
+	for l.IsLeader() && s.now.Sub(lastContact) < 10*time.Second {
+		s.now = s.now.Add(tickEvery)
+		l.Tick(s.now, lastContact, OtherGroups{})
+	}
+	if took := s.now.Sub(lastContact); took > isolationTimeout+tickEvery {
+		t.Errorf("it stepped down %s after its last contact, want %s at most", took, isolationTimeout+tickEvery)
+	}
+}
--- a/internal/lead/liveness.go
+++ b/internal/lead/liveness.go
@@ -30,7 +30,8 @@
 }
 
 // excuseSilence takes a delay of this process off the silence of all other VMs. On a VM
-// that is behind, heartbeats wait unread, and it must not replace a leader for that.
+// that is behind, heartbeats wait unread, and it must not replace a leader for that. A leader
+// gets no excuse for its own lack of contact, see isolated.
 func (l *Leadership) excuseSilence(now time.Time, delay time.Duration) {
 	if delay <= 0 {
 		return
@@ -41,6 +42,9 @@
 		}
 		l.peers[id] = p
 	}
+	if l.IsLeader() {
+		return
+	}
 	if l.lastContact = l.lastContact.Add(delay); l.lastContact.After(now) {
 		l.lastContact = now
 	}
