A process that restarts takes an old division for what it is

A new division of the workers makes its dispatchers wait 1.5 s for what those from before ordered; a process that restarts learned of one that had been in force for a minute and counted it as made at that moment.

Change: a division whose epoch is over 30 s old, more than twice the difference of clocks, a pause and a lease, needs no recovery.

The comment of pool.Answer.Reason says that callers read it too.

--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -23,6 +23,10 @@
 	fenceVMBits = 16
 )
 
+// Time returns the time of day at which f was drawn, on the clock of the VM that drew it,
+// or later.
+func (f Fence) Time() time.Time { return time.Unix(0, int64(f>>fenceVMBits)*int64(fenceUnit)) }
+
 // Claim names the process that leads and the fence of its orders. A Claim
 // without a VM has been given up.
 type Claim struct {
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -37,7 +37,7 @@
 type Answer struct {
 	Admission
 	Outcome      job.Outcome
-	Reason       string        // for the log
+	Reason       string        // for the log and the caller
 	RetryAfter   time.Duration // of a refused job: when the caller may try again
 	TryElsewhere bool          `json:"Elsewhere"` // of a refused job: another group may still meet the objective deadline
 }
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -61,6 +61,12 @@
 	}
 }
 
+// settledDivisionAge is the age from which a division that becomes known, as to a process
+// that restarts, needs no recovery: what dispatchers from before it ordered has lapsed. It
+// exceeds twice the largest difference of two clocks that the platform states (8 s), the
+// longest time that a dispatcher is paused (7 s) and a lease.
+const settledDivisionAge = 30 * time.Second
+
 // applyDivision replaces the groups by those of d, which start without a leader. Pools
 // of the old groups are dropped.
 func (g *Group) applyDivision(now time.Time, d lead.Division) {
@@ -74,5 +80,8 @@
 		g.groups = append(g.groups, newGroupState(first.ForDivision(d.Epoch)))
 	}
 	g.division, g.dividedAt, g.divider = d, now, lead.Divider{}
+	if now.Sub(d.Epoch.Time()) > settledDivisionAge {
+		g.dividedAt = time.Time{}
+	}
 	g.config.Knowledge.SetDivision(g.self.FailureDomain, d)
 }
