--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -171,7 +171,7 @@
 
 // supersedes reports whether current leads in the place of leader. A leader whose heartbeats
 // are missing may only be slow: until another VM claims, nobody else can run its jobs, and
-// a job that were withdrawn would count as one that may have run.
+// a withdrawn job would count as one that may have run.
 func supersedes(current, leader group.Leader) bool {
 	return current.VM != "" && (current.VM != leader.VM || current.Claim.Fence != leader.Claim.Fence)
 }
