--- a/tamarackpin/internal/server/api_test.go
+++ b/tamarackpin/internal/server/api_test.go
@@ -128,8 +128,8 @@
 
 var example = regexp.MustCompile("(?s)```http\n(\\w+) (\\w+) (\\S+)\n(.*?)```\n\n```json\n(\\d+)\n(.*?)```")
 
-// TestPage runs every example of docs/API.md.
-func TestPage(t *testing.T) {
+// TestAPIPage runs every example of docs/API.md.
+func TestAPIPage(t *testing.T) {
 	page, err := os.ReadFile("../../../docs/API.md")
 	if err != nil {
 		t.Fatal(err)
