Log the losses of workers under tasks, with the evidence

Package crash records each loss with its evidence: the worker was silent until its leases lapsed, its host refused connections (NoListener of a reply), a later incarnation was seen, or the same one replied later, which takes the loss back. Event 815 has one line for each. Decisions are unchanged.

Ruled out: that tasks are restarted by a caller's resend (no job had two).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -61,6 +61,7 @@
 	HandOverLost      ID = 812
 	LeaderFollowed    ID = 813
 	OffloadSilent     ID = 814
+	WorkerLost        ID = 815
 )
 
 // Entry describes one event.
@@ -118,6 +119,7 @@
 	{HandOverLost, zapcore.WarnLevel, "hand-over without an answer", "The dispatcher was lost or is not the dispatcher any more; the gate hands the job in again. With `may_run` its tasks may have been started."},
 	{LeaderFollowed, zapcore.InfoLevel, "dispatcher followed", "This entry VM takes another VM, or none, for the dispatcher of a group from now on."},
 	{OffloadSilent, zapcore.WarnLevel, "VM with offloaded jobs silent", "A VM that runs offloaded jobs of this VM's callers replied to no ping for `timeout`; the jobs are given up (504). It has withdrawn them by then."},
+	{WorkerLost, zapcore.WarnLevel, "worker lost under a task", "The worker was lost with this task; `evidence` tells whether it crashed (refused: its host refuses connections; restarted: a later incarnation was seen), was only silent (survived), or neither is known yet (silent). Many lines for one task say that it crashes its workers; many tasks on one worker, that the worker is at fault."},
 }
 
 var byID = func() map[ID]Entry {
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -60,6 +60,9 @@
 	ReceivedAt time.Time // on the dispatcher's clock, when the reply arrived
 	Done       bool      // the worker carried it out
 	Refusal    Refusal   // if empty and Done is false, there was no reply: the order may have been carried out, or may still be
+	// NoListener reports that the worker's host refused the connection, since no process
+	// listened at the address.
+	NoListener bool
 	// RepliedBy is the incarnation that replied, or 0 if the reply does not say.
 	// A worker that restarted under its old name carries out orders that were meant
 	// for its previous incarnation.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,6 +34,7 @@
 	"slices"
 	"time"
 
+	"tamarackpin.example/internal/crash"
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/worker"
@@ -51,6 +52,9 @@
 	// WorkersIncomplete reports that the process has just started and may not
 	// know all workers yet.
 	WorkersIncomplete bool
+	// Crashes has the workers that were lost under tasks, also under earlier
+	// dispatchers; nil means none. The Pool adds to it.
+	Crashes *crash.Log
 }
 
 // Bounds of leases, orders and backoff.
@@ -92,6 +96,7 @@
 	byID      []*workerState // workers sorted by id, so that equal inputs lead to equal decisions
 	jobs      map[job.ID]*jobState
 	estimator Estimator
+	crashes   *crash.Log
 
 	lastAdmission uint64 // number of the newest Admission
 
@@ -116,8 +121,12 @@
 
 // New returns a Pool that takes over the group at time now, without jobs or workers.
 func New(now time.Time, c Config) *Pool {
+	crashes := c.Crashes
+	if crashes == nil {
+		crashes = &crash.Log{}
+	}
 	return &Pool{
-		config: c, startedAt: now,
+		config: c, startedAt: now, crashes: crashes,
 		workers: make(map[worker.ID]*workerState), jobs: make(map[job.ID]*jobState),
 		Counts: Counts{RefusedOrders: make(map[Refusal]int)},
 	}
@@ -162,8 +171,13 @@
 // of earlier stops. So acknowledged tasks are requeued, and unacknowledged starts
 // stay in doubt and get a new stop.
 func (p *Pool) handleRestart(now time.Time, w *workerState, rec worker.Record) {
+	p.crashes.ObserveIncarnation(now, rec.Worker, rec.Incarnation)
+	p.recordOrphanLosses(now, w, crash.Restarted)
 	var unackedTasks []*task
 	for _, t := range assignedTasks(w) {
+		if t.ackedAt.Before(now) { // not acknowledged by the new incarnation
+			p.recordLoss(now, w, t, crash.Restarted)
+		}
 		if t.ackedAt.IsZero() {
 			unackedTasks = append(unackedTasks, t)
 			continue
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tamarackpin.example/internal/crash"
 	"tamarackpin.example/internal/job"
 )
 
@@ -28,6 +29,10 @@
 	if r.Done || r.HasClock {
 		w.missedReplies = 0
 		w.lastReplyAt = now
+		p.crashes.ObserveReply(now, w.Worker, w.Incarnation, r.Sent)
+	}
+	if r.NoListener {
+		w.noListenerAt = now
 	}
 	switch {
 	case r.Refusal == RefusedFence:
@@ -35,7 +40,7 @@
 		p.orders = nil
 		return
 	case r.Refusal == RefusedIncarnation:
-		p.handleIncarnationGone(w)
+		p.handleIncarnationGone(now, w)
 	case !r.Done && (r.Refusal == "" || r.Refusal == RefusedUnsent):
 		w.missedReplies++
 		if r.Refusal == "" && r.Deadline != 0 {
@@ -77,10 +82,13 @@
 // has ended: its runs ended with it, so its tasks wait again. Unacknowledged
 // starts are requeued too, unlike in handleRestart: another worker replies at that
 // address, and it refuses late starts for the same reason.
-func (p *Pool) handleIncarnationGone(w *workerState) {
+func (p *Pool) handleIncarnationGone(now time.Time, w *workerState) {
 	w.stale = true
+	p.crashes.ObserveIncarnation(now, w.Worker, w.Incarnation+1)
+	p.recordOrphanLosses(now, w, crash.Restarted)
 	clear(w.orphans)
 	for _, t := range assignedTasks(w) {
+		p.recordLoss(now, w, t, crash.Restarted)
 		p.requeue(t)
 		p.forgetIfDone(t.job)
 	}
@@ -168,6 +176,7 @@
 			p.checkTask(now, w, t)
 		}
 		if w.missedReplies > 0 && now.After(w.leasesUntil) {
+			p.recordOrphanLosses(now, w, w.lapseEvidence(p.startedAt))
 			clear(w.orphans)
 		}
 		p.poll(now, w)
@@ -205,6 +214,7 @@
 func (p *Pool) checkTask(now time.Time, w *workerState, t *task) {
 	if now.After(w.leasesUntil) && now.After(t.lapsesAt) && w.missedReplies > 0 {
 		p.Counts.Lapsed++
+		p.recordLoss(now, w, t, w.lapseEvidence(t.orderedAt))
 		p.requeue(t)
 		p.forgetIfDone(t.job)
 		return
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -152,6 +152,7 @@
 	stalls          int            // number of runs that stalled since one was last done
 	leasesUntil     time.Time      // all leases asked for have lapsed by then, however slow its clock is
 	lastReplyAt     time.Time      // when it last replied
+	noListenerAt    time.Time      // when its host last refused a connection
 	stale           bool           // this incarnation has ended: no renewal and no new task until the next one is announced
 }
 
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -23,6 +23,7 @@
 
 	"go.uber.org/zap"
 
+	"tamarackpin.example/internal/crash"
 	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
@@ -100,6 +101,7 @@
 	groups           []*groupState // by group of the division
 	workersUpdatedAt time.Time     // when the pools last received the workers
 	earlyWithdrawals withdrawals
+	crashes          crash.Log // of the tasks of all groups
 	calls            sync.WaitGroup
 }
 
@@ -192,6 +194,7 @@
 		g.workersUpdatedAt = now
 		g.updateWorkers(now)
 		g.redivide(now)
+		g.crashes.Expire(now)
 	}
 	for _, s := range g.groups {
 		if s.pool != nil {
@@ -239,6 +242,7 @@
 			s.dropPool()
 		}
 	}
+	g.logLosses(g.crashes.TakeChanges())
 	g.publish(now)
 }
 
--- a/tamarackpin/internal/group/log.go
+++ b/tamarackpin/internal/group/log.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"tamarackpin.example/internal/crash"
 	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/pool"
@@ -64,6 +65,14 @@
 	}
 }
 
+// logLosses logs each task under which a worker was lost, and each change of the evidence.
+func (g *Group) logLosses(records []crash.Record) {
+	for _, r := range records {
+		event.Log(g.config.Log, event.WorkerLost, zap.String("job", string(r.Task.Job)), zap.Int("step", r.Task.Step), zap.Int("index", r.Task.Index),
+			zap.String("worker", string(r.Worker)), zap.Int64("incarnation", int64(r.Incarnation)), zap.String("evidence", string(r.Evidence)))
+	}
+}
+
 // logUnanswered logs a forward without an answer. One that was never sent is not logged,
 // as the gate forwards again some milliseconds later.
 func (g *Group) logUnanswered(to Leader, number uint64, id job.ID, took time.Duration, result ForwardResult) {
