--- /dev/null
+++ b/internal/pool/crashes_test.go
@@ -0,0 +1,298 @@
+package pool
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"tamarackpin.example/internal/crash"
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/worker"
+)
+
+// crashSite drives a harness whose workers carry out orders at once. A task of a deadly
+// job crashes its worker crashDelay after its start; any other task is done after taskTime.
+type crashSite struct {
+	*harness
+	deadly map[job.ID]bool
+	silent bool          // a crashed host does not answer at all, instead of refusing connections
+	backIn time.Duration // a crashed worker is back with a new incarnation so much later; 0 is never
+
+	workers map[worker.ID]*crashWorker
+	starts  map[job.Task]int
+	beside  map[job.Task][]job.Task // the tasks that ran on the worker of the newest start
+	crashes int
+	answers map[job.ID]Answer
+}
+
+type crashWorker struct {
+	incarnation worker.Incarnation
+	running     map[job.Task]crashRun
+	renewal     *Order // pending
+	ended       []End
+	crashedAt   time.Time
+}
+
+type crashRun struct {
+	run   job.Run
+	since time.Time
+}
+
+const (
+	crashDelay = 40 * time.Millisecond
+	taskTime   = 200 * time.Millisecond
+)
+
+func newCrashSite(t *testing.T, workers int, deadly ...job.ID) *crashSite {
+	s := &crashSite{
+		harness: newHarness(t, workers), deadly: make(map[job.ID]bool), workers: make(map[worker.ID]*crashWorker),
+		starts: make(map[job.Task]int), beside: make(map[job.Task][]job.Task), answers: make(map[job.ID]Answer),
+	}
+	for id := range s.pool.workers {
+		s.workers[id] = &crashWorker{incarnation: 1, running: make(map[job.Task]crashRun)}
+	}
+	for _, id := range deadly {
+		s.deadly[id] = true
+	}
+	return s
+}
+
+// run advances the time by d in steps of a tick.
+func (s *crashSite) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.advance(10 * time.Millisecond)
+		s.carryOut()
+		for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+			s.advanceRuns(id, s.workers[id])
+		}
+	}
+}
+
+func (s *crashSite) carryOut() {
+	orders, answers := s.takePending()
+	for _, a := range answers {
+		s.answers[a.Job] = a
+	}
+	for _, o := range orders {
+		w := s.workers[o.Worker]
+		switch {
+		case !w.crashedAt.IsZero() && s.silent:
+			s.reply(o, Reply{})
+		case !w.crashedAt.IsZero():
+			s.reply(o, Reply{Refusal: RefusedUnsent, NoListener: true})
+		case o.Kind == RenewOrder:
+			w.renewal = &o
+		case o.Kind == StopOrder:
+			delete(w.running, o.Task)
+			s.reply(o, Reply{Done: true})
+		default:
+			s.starts[o.Task]++
+			s.beside[o.Task] = nil
+			for other := range w.running {
+				s.beside[o.Task] = append(s.beside[o.Task], other)
+			}
+			w.running[o.Task] = crashRun{o.Run, s.now}
+			s.reply(o, Reply{Done: true})
+		}
+	}
+}
+
+// advanceRuns ends and crashes what is due on one worker, and replies to its renewal.
+func (s *crashSite) advanceRuns(id worker.ID, w *crashWorker) {
+	if !w.crashedAt.IsZero() {
+		if s.backIn > 0 && s.now.Sub(w.crashedAt) >= s.backIn {
+			*w = crashWorker{incarnation: w.incarnation + 1, running: make(map[job.Task]crashRun)}
+			s.announce(string(id), w.incarnation)
+		}
+		return
+	}
+	reply := Reply{Done: true}
+	for t, r := range w.running {
+		switch took := s.now.Sub(r.since); {
+		case s.deadly[t.Job] && took >= crashDelay:
+			s.crashWorker(w)
+			return
+		case took >= taskTime:
+			delete(w.running, t)
+			w.ended = append(w.ended, End{Number: uint64(len(w.ended) + 1), Task: t, Run: r.run, Kind: EndedDone})
+		default:
+			reply.Running = append(reply.Running, RunningTask{Task: t, Run: r.run, Percent: int(100 * took / taskTime)})
+		}
+	}
+	if o := w.renewal; o != nil {
+		w.renewal = nil
+		reply.EndedRuns = slices.Clone(w.ended)
+		s.reply(*o, reply)
+	}
+}
+
+func (s *crashSite) crashWorker(w *crashWorker) {
+	s.crashes++
+	w.crashedAt = s.now
+	clear(w.running)
+	if o := w.renewal; o != nil {
+		w.renewal = nil
+		s.reply(*o, Reply{})
+	}
+}
+
+// TestTaskThatCrashesItsWorkersIsGivenUp guards against one task that crashes worker after
+// worker, as it is started again whenever its worker is lost.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		silent bool
+		backIn time.Duration
+	}{
+		"its hosts refuse connections": {false, 0},
+		"its workers restart":          {false, 3 * time.Second},
+		"its hosts are silent":         {true, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newCrashSite(t, 6, "deadly")
+			s.silent, s.backIn = c.silent, c.backIn
+			r := request("deadly", 1, 60*time.Millisecond)
+			r.RemainingWait = 20 * time.Second
+			s.pool.Submit(s.now, r)
+			s.run(10 * time.Second)
+			if a := s.answers["deadly"]; a.Outcome != job.Failed || s.crashes > 2 {
+				t.Errorf("%d workers crashed, answer %+v; want 2, failed", s.crashes, a)
+			}
+		})
+	}
+}
+
+// TestResubmittedDeadlyJobIsNotStarted: the caller of a job leaves before the second crash
+// is known, and submits the job again.
+func TestResubmittedDeadlyJobIsNotStarted(t *testing.T) {
+	s := newCrashSite(t, 6, "deadly")
+	for range 4 {
+		r := request("deadly", 1, 60*time.Millisecond)
+		r.RemainingWait = 1200 * time.Millisecond
+		s.pool.Submit(s.now, r)
+		s.run(3 * time.Second)
+	}
+	if a := s.answers["deadly"]; a.Outcome != job.Failed || s.crashes > 2 {
+		t.Errorf("%d workers crashed, answer %+v; want 2, failed", s.crashes, a)
+	}
+}
+
+// TestSuccessorKnowsCrashes: a dispatcher is lost after each crash, and the job is
+// forwarded to its successor, which has the same crash.Log.
+func TestSuccessorKnowsCrashes(t *testing.T) {
+	s := newCrashSite(t, 6, "deadly")
+	var log crash.Log
+	for fence := range 4 {
+		s.pool = New(s.now, Config{Fence: s.pool.config.Fence + 1, LeaseMax: time.Second, StopMax: 50 * time.Millisecond, Crashes: &log})
+		for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+			s.announce(string(id), s.workers[id].incarnation)
+		}
+		r := request("deadly", 1, 60*time.Millisecond)
+		r.RemainingWait, r.MayBeRunning = 20*time.Second, fence > 0
+		s.pool.Submit(s.now, r)
+		before := s.crashes
+		for range 300 {
+			if s.run(10 * time.Millisecond); s.crashes > before && !log.Empty() {
+				break
+			}
+		}
+		s.run(900 * time.Millisecond)
+	}
+	if a := s.answers["deadly"]; a.Outcome != job.Failed || s.crashes > 3 {
+		t.Errorf("%d workers crashed, answer %+v; want 3 at most, failed", s.crashes, a)
+	}
+}
+
+// TestSilentWorkersDoNotCondemnATask: two workers are cut off in turn while they run a
+// task. It is not given up as one that crashes them, and is started again once one of them
+// replies.
+func TestSilentWorkersDoNotCondemnATask(t *testing.T) {
+	s := newCrashSite(t, 2)
+	r := request("innocent", 1, 60*time.Millisecond)
+	r.RemainingWait = 20 * time.Second
+	s.pool.Submit(s.now, r)
+	s.silent = true
+	for range 2 { // each worker is silent from 50 ms after the start
+		s.run(20 * time.Millisecond)
+		for range 200 {
+			if s.run(10 * time.Millisecond); s.cutOffRunning() {
+				break
+			}
+		}
+		s.run(900 * time.Millisecond)
+	}
+	if len(s.answers) > 0 {
+		t.Fatalf("answers %+v while both workers are silent, want none", s.answers)
+	}
+	for _, w := range s.workers { // the leases have lapsed, the process is the same
+		w.crashedAt = time.Time{}
+	}
+	s.run(2 * time.Second)
+	if a := s.answers["innocent"]; a.Outcome != job.Completed {
+		t.Errorf("answer %+v, want completed", a)
+	}
+}
+
+// cutOffRunning cuts off the worker that runs something, if any.
+func (s *crashSite) cutOffRunning() bool {
+	for _, w := range s.workers {
+		if len(w.running) > 0 && w.crashedAt.IsZero() {
+			s.crashWorker(w)
+			return true
+		}
+	}
+	return false
+}
+
+// TestNeighbourOfDeadlyTaskIsServed: a task that ran beside one that crashed its worker is
+// neither started beside it again, nor given up with it.
+func TestNeighbourOfDeadlyTaskIsServed(t *testing.T) {
+	s := newCrashSite(t, 4, "deadly")
+	for _, id := range []string{"deadly", "innocent"} {
+		r := request(id, 1, 200*time.Millisecond)
+		r.RemainingWait = 20 * time.Second
+		s.pool.Submit(s.now, r)
+	}
+	s.run(20 * time.Millisecond)
+	if len(s.beside[job.Task{Job: "innocent"}]) != 1 {
+		t.Fatal("the two tasks do not share a worker at first, as the test assumes")
+	}
+	s.run(5 * time.Second)
+	if a := s.answers["innocent"]; a.Outcome != job.Completed || s.starts[job.Task{Job: "innocent"}] != 2 {
+		t.Errorf("the innocent job was started %d times, answer %+v; want 2, completed", s.starts[job.Task{Job: "innocent"}], a)
+	}
+	if a := s.answers["deadly"]; a.Outcome != job.Failed || s.crashes != 2 {
+		t.Errorf("%d workers crashed, answer %+v; want 2, failed", s.crashes, a)
+	}
+}
+
+// TestNothingStartsBesideSuspect: while a task that may have crashed its worker runs
+// again, no task is started beside it.
+func TestNothingStartsBesideSuspect(t *testing.T) {
+	s := newCrashSite(t, 2, "deadly")
+	r := request("deadly", 1, 200*time.Millisecond)
+	r.RemainingWait = 20 * time.Second
+	s.pool.Submit(s.now, r)
+	s.run(100 * time.Millisecond)
+	for s.starts[job.Task{Job: "deadly"}] < 2 {
+		s.run(10 * time.Millisecond)
+	}
+	s.pool.Submit(s.now, request("other", 1, 200*time.Millisecond))
+	s.run(crashDelay / 2)
+	if n := s.starts[job.Task{Job: "other"}]; n != 0 {
+		t.Errorf("a task was started %d times beside a suspect, want none", n)
+	}
+}
+
+// TestSuspectsOfOneJobStartInTurn: all tasks of a job crash their workers. The first round
+// is lost; after that one more worker is, not one for each task.
+func TestSuspectsOfOneJobStartInTurn(t *testing.T) {
+	s := newCrashSite(t, 12, "deadly")
+	r := request("deadly", 8, 60*time.Millisecond)
+	r.RemainingWait = 20 * time.Second
+	s.pool.Submit(s.now, r)
+	s.run(10 * time.Second)
+	if a := s.answers["deadly"]; a.Outcome != job.Failed || s.crashes > 5 {
+		t.Errorf("%d workers crashed, answer %+v; want 4 that ran two tasks each and one more, failed", s.crashes, a)
+	}
+}
