A task under which two workers crashed is given up

Callers saw jobs abandoned and refused for a row that was not theirs: one task crashed worker after worker, and took the tasks beside with it.

Cause: a task that lost its worker waited again as if it had never started. Class: a retry without a bound of its own (only the caller's deadline ended it).

Change, in pool, from the losses that package crash records: - two crashes under one task: its job is answered failed, also when it is submitted again; - one crash: it is a suspect. It runs apart from other suspects, on the worker with the fewest tasks, with nothing started beside it, so that the next crash tells which task causes it. The suspects of one job run in turn; - two losses of which one was only silent: it waits for the worker to come back, with another incarnation (a crash) or the same (not one). A silent worker never condemns a task.

The test harness gave a reply's clock to orders that were never sent; the real client does not, and with it every refused connection was a sign of life.

--- a/internal/pool/crashes.go
+++ b/internal/pool/crashes.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"tamarackpin.example/internal/crash"
@@ -30,6 +31,52 @@
 	}
 }
 
+// failDeadlyJobs answers the pending jobs of which a task is known to crash its workers.
+func (p *Pool) failDeadlyJobs(now time.Time) {
+	if p.crashes.Empty() {
+		return
+	}
+	for _, j := range p.pendingJobs(p.isDeadly) {
+		p.answer(now, j, Answer{Outcome: job.Failed, Reason: "workers crashed while they ran one of its tasks"})
+	}
+}
+
+// isDeadly reports whether a task of j is known to crash its workers.
+func (p *Pool) isDeadly(j *jobState) bool {
+	return slices.ContainsFunc(j.tasks, func(t *task) bool { return p.crashes.Verdict(t.name) == crash.Deadly })
+}
+
+// mayRetry reports whether t may start, given the workers that were lost under it. The
+// suspects of a job start in turn, as its tasks are alike: if one crashes another worker,
+// the job is given up.
+func (p *Pool) mayRetry(t *task) bool {
+	switch p.crashes.Verdict(t.name) {
+	case crash.Clear:
+		return true
+	case crash.Suspect:
+		return !slices.ContainsFunc(t.job.tasks, func(o *task) bool { return o.assigned() && p.isSuspect(o) })
+	default: // the workers that are silent now may still turn out to have crashed, or not
+		return false
+	}
+}
+
+// isSuspect reports whether t may crash its worker. It runs apart from other suspects, so
+// that the next crash tells which of them causes it, and nothing is started beside it.
+func (p *Pool) isSuspect(t *task) bool { return p.crashes.Verdict(t.name) != crash.Clear }
+
+// runsSuspect reports whether a suspect is assigned to w.
+func (p *Pool) runsSuspect(w *workerState) bool {
+	if p.crashes.Empty() {
+		return false
+	}
+	for _, t := range w.tasks {
+		if p.isSuspect(t) {
+			return true
+		}
+	}
+	return false
+}
+
 // lapseEvidence returns what is known of w, whose leases have lapsed without a reply since
 // a run was ordered at orderedAt.
 func (w *workerState) lapseEvidence(orderedAt time.Time) crash.Evidence {
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -33,6 +33,10 @@
 		j.inherit(old)
 	}
 	p.jobs[r.Job.ID] = j
+	if p.isDeadly(j) {
+		p.failDeadlyJobs(now)
+		return j.admission
+	}
 	if !p.newlyDivided(now) {
 		p.adopt(j)
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -63,7 +63,7 @@
 
 func (h *harness) reply(o Order, r Reply) {
 	r.Order, r.ReceivedAt = o, h.now
-	if r.Done || r.Refusal != "" {
+	if r.Done || r.Refusal != "" && r.Refusal != RefusedUnsent { // an order that was not sent has no reply
 		r.Clock, r.HasClock, r.RepliedBy = worker.Clock(time.Hour+h.now.Sub(time.Unix(1000, 0))), true, o.Incarnation
 	}
 	h.pool.Receive(h.now, r)
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -25,7 +25,8 @@
 }
 
 // workersWithRoom returns the eligible workers whose free cores suffice for some
-// waiting task and that have no orphans, whose usage is not counted in free.
+// waiting task and that have neither orphans, whose usage is not counted in free, nor
+// suspects.
 func (p *Pool) workersWithRoom(now time.Time) []*workerState {
 	least := p.smallestNeed()
 	if least == noTaskWaits {
@@ -33,7 +34,7 @@
 	}
 	var candidates []*workerState
 	for _, w := range p.byID {
-		if w.free.MilliCores >= least && len(w.orphans) == 0 && w.timing.Known() && w.eligible(now) {
+		if w.free.MilliCores >= least && len(w.orphans) == 0 && w.timing.Known() && w.eligible(now) && !p.runsSuspect(w) {
 			candidates = append(candidates, w)
 		}
 	}
@@ -141,7 +142,7 @@
 // always returns true: when a task gets no worker, a smaller one may still fit.
 func (p *Pool) scheduleJob(now time.Time, candidates []*workerState, j *jobState) bool {
 	for _, t := range j.tasks {
-		if t.phase != waiting || !j.stepReady(t.step) {
+		if t.phase != waiting || !j.stepReady(t.step) || !p.mayRetry(t) {
 			continue
 		}
 		w := p.selectWorker(now, candidates, t)
@@ -165,13 +166,13 @@
 	var bestTime time.Duration
 	bestMeets := false
 	for _, w := range candidates {
-		if !fits(w, t) {
+		if !fits(w, t) || p.runsSuspect(w) {
 			continue
 		}
 		factor := p.estimator.Factor(w.Kind, w.Worker)
 		took := time.Duration(float64(work) * factor)
 		meets := t.job.meetsObjective(now, work, factor)
-		if best == nil || p.better(w, took, meets, best, bestTime, bestMeets) {
+		if best == nil || p.betterFor(t, w, took, meets, best, bestTime, bestMeets) {
 			best, bestTime, bestMeets = w, took, meets
 		}
 	}
@@ -221,6 +222,15 @@
 // the median time between two ends of runs on the workers of a failure domain.
 const waitMargin = 30 * time.Millisecond
 
+// betterFor is better for most tasks. For a suspect the worker with the fewest tasks is
+// preferred, as they may be lost with it.
+func (p *Pool) betterFor(t *task, w *workerState, took time.Duration, meets bool, best *workerState, bestTime time.Duration, bestMeets bool) bool {
+	if len(w.tasks) != len(best.tasks) && p.isSuspect(t) {
+		return len(w.tasks) < len(best.tasks)
+	}
+	return p.better(w, took, meets, best, bestTime, bestMeets)
+}
+
 // better reports whether w is to be preferred to best, the best worker so far. In
 // order of weight: it meets the objective; it has no recent failures or stalls;
 // its kind is slower if it meets the objective, faster if not; it takes less time,
