The entry VMs of a failure domain share what crashed under which task

A dispatcher's records of crashes were lost with it, and its successor started the same tasks as new. Cause: state that bounds retries was held by one process. A leader now sends each new record to the other entry VMs of its failure domain at once, and all of them to one that has started since; the records belong to the VM, not to the pool of one leadership.

A lost message costs one more worker at most.

--- /dev/null
+++ b/tamarackpin/internal/group/crashes.go
@@ -0,0 +1,73 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/crash"
+	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/vm"
+)
+
+// shareTimeout bounds the sending of crash records to one VM.
+const shareTimeout = time.Second
+
+// sharedCrashes is the message that carries crash records to another entry VM of the
+// failure domain, which may be the next dispatcher of their tasks.
+type sharedCrashes struct {
+	Records []crash.Record `json:"records"`
+}
+
+// shareCrashes logs the losses that are new here and sends them to the other entry VMs of
+// the failure domain. VMs that have started since get all that are known.
+func (g *Group) shareCrashes(ctx context.Context) {
+	if !g.leads() {
+		return // a leader sends them
+	}
+	changes := g.crashes.TakeChanges()
+	g.logLosses(changes)
+	for id := range g.startedVMs {
+		g.sendCrashes(ctx, id, g.crashes.Records())
+	}
+	for _, p := range g.peers() {
+		if !g.startedVMs[p.VM] {
+			g.sendCrashes(ctx, p.VM, changes)
+		}
+	}
+	clear(g.startedVMs)
+}
+
+// sendCrashes sends crash records to a VM, unless there are none. A message that is lost
+// costs at most one more worker if that VM is the next dispatcher.
+func (g *Group) sendCrashes(ctx context.Context, to vm.ID, records []crash.Record) {
+	if len(records) == 0 {
+		return
+	}
+	g.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+		defer cancel()
+		if err := g.config.Mesh.Notify(ctx, to, report.UseForward, methodCrashes, sharedCrashes{records}); err != nil {
+			g.config.Log.Debug("crash records were not sent", zap.String("vm", string(to)), zap.Int("records", len(records)), event.Err(err))
+		}
+	})
+}
+
+// serveCrashes records the crashes that another VM reports.
+func (g *Group) serveCrashes(ctx context.Context, _ vm.ID, shared sharedCrashes) (struct{}, error) {
+	err := g.ring.Put(ctx, func(g *Group, now time.Time) { g.crashes.Merge(now, shared.Records) })
+	return struct{}{}, err
+}
+
+// noteStart notes that a VM whose heartbeat arrived has started since the last one.
+func (g *Group) noteStart(p vm.Presence) {
+	if g.incarnations[p.VM] == p.Incarnation {
+		return
+	}
+	if g.incarnations == nil {
+		g.incarnations, g.startedVMs = make(map[vm.ID]vm.Incarnation), make(map[vm.ID]bool)
+	}
+	g.incarnations[p.VM], g.startedVMs[p.VM] = p.Incarnation, true
+}
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -101,7 +101,9 @@
 	groups           []*groupState // by group of the division
 	workersUpdatedAt time.Time     // when the pools last received the workers
 	earlyWithdrawals withdrawals
-	crashes          crash.Log // of the tasks of all groups
+	crashes          crash.Log                // of the tasks of all groups
+	incarnations     map[vm.ID]vm.Incarnation // of the VMs whose heartbeats arrived
+	startedVMs       map[vm.ID]bool           // VMs that may lack crash records
 	calls            sync.WaitGroup
 }
 
@@ -164,12 +166,17 @@
 // tickInterval returns the time until the next tick. Pools, which only a leader has, need
 // the shorter one.
 func (g *Group) tickInterval() time.Duration {
-	if slices.ContainsFunc(g.groups, func(s *groupState) bool { return s.pool != nil }) {
+	if g.leads() {
 		return leaderTickInterval
 	}
 	return followerTickInterval
 }
 
+// leads reports whether this VM leads any group.
+func (g *Group) leads() bool {
+	return slices.ContainsFunc(g.groups, func(s *groupState) bool { return s.pool != nil })
+}
+
 // runQueued executes the commands that are queued already, so that orders are sent only
 // after all of them have been considered. It returns after maxBatchTime, so that ticks are
 // not late when the dispatcher is behind: a leader whose ticks stop steps down.
@@ -225,9 +232,10 @@
 	g.config.Knowledge.SetReports(reports)
 }
 
-// applyDecisions sends what the pools decided, drops the pools of lost leaderships and
+// applyDecisions sends what the pools decided and recorded, drops the pools of lost leaderships and
 // publishes the leaders.
 func (g *Group) applyDecisions(ctx context.Context, now time.Time) {
+	g.shareCrashes(ctx)
 	for i, s := range g.groups {
 		if s.pool == nil {
 			continue
@@ -242,7 +250,6 @@
 			s.dropPool()
 		}
 	}
-	g.logLosses(g.crashes.TakeChanges())
 	g.publish(now)
 }
 
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -18,6 +18,7 @@
 	methodWithdraw peer.Method = "group.withdraw"
 	methodExchange peer.Method = "group.exchange"
 	methodPing     peer.Method = "group.ping"
+	methodCrashes  peer.Method = "group.crashes"
 )
 
 // Ticket identifies a forward by a gate; it is unique across restarts of the gate's
@@ -69,6 +70,7 @@
 func (g *Group) registerHandlers(x *peer.Mux) {
 	peer.Handle(x, methodExchange, g.serveExchange)
 	peer.Handle(x, methodPing, g.servePing)
+	peer.Handle(x, methodCrashes, g.serveCrashes)
 	peer.Handle(x, methodRun, func(ctx context.Context, from vm.ID, req forwardRequest) (forwardReply, error) {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
