A worker that refuses connections is asked at intervals

Cause: a renewal is sent as soon as the last one has a reply, which paces itself by the wait at the worker; a refused connection has no wait. Now a worker that missed two replies is asked every 150 ms; after the first miss, which may be a broken connection, once at once.

--- a/internal/pool/crashes_test.go
+++ b/internal/pool/crashes_test.go
@@ -296,3 +296,24 @@
 		t.Errorf("%d workers crashed, answer %+v; want 4 that ran two tasks each and one more, failed", s.crashes, a)
 	}
 }
+
+// TestRefusedConnectionsAreNotRetriedAtOnce guards against a dispatcher that asks a host
+// without a listener again as soon as it has refused a connection, some hundred times a
+// second.
+func TestRefusedConnectionsAreNotRetriedAtOnce(t *testing.T) {
+	s := newCrashSite(t, 1, "deadly")
+	s.pool.Submit(s.now, request("deadly", 1, 60*time.Millisecond))
+	s.run(2 * crashDelay)
+	const length = time.Second
+	renewals := 0
+	for range length / time.Millisecond {
+		s.now = s.now.Add(time.Millisecond)
+		for _, o := range s.ordersOfKind(RenewOrder) {
+			renewals++
+			s.reply(o, Reply{Refusal: RefusedUnsent, NoListener: true})
+		}
+	}
+	if limit := int(length/probeInterval) + 1; renewals > limit {
+		t.Errorf("%d renewals in %s, want at most %d", renewals, length, limit)
+	}
+}
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -40,6 +40,9 @@
 	if w.runsKnown && !w.busy() && !probe {
 		return
 	}
+	if w.missedReplies > 1 && now.Sub(w.renewSentAt) < probeInterval {
+		return // the first miss may be a broken connection: one retry at once
+	}
 	o := Order{Kind: RenewOrder, EndsSeen: w.endsSeen}
 	if w.runsKnown && w.missedReplies == 0 && w.busy() {
 		o.Wait = renewWait
@@ -53,8 +56,8 @@
 	p.enqueueOrder(now, w, o)
 }
 
-// probeInterval is the least time from the newest renewal to a probe of a worker that
-// missed a reply or that needsProbe names. A worker that missed a reply gets no task
+// probeInterval is the least time from the newest renewal to the next one to a worker that
+// missed two replies, and to a probe of one that missed a reply or that needsProbe names. A worker that missed a reply gets no task
 // until it replies.
 const probeInterval = 150 * time.Millisecond
 
