A job on which two dispatchers panic is given up

The same class as the task that crashes its workers, found by looking for it in our own processes: a panic while a job is admitted ends one leadership, not the process; but its gate was never told. It waited for a successor, forwarded the job to it, and that one stepped down too, until the caller's deadline.

Now a panic is reported to the gate at once, and after the second dispatcher the job is answered failed. TestJobThatPanicsIsReported: no reply within 0.5 s before, at once now.

Tried and reverted: checking forwarded jobs again when they are decoded. Gates check them already, and tests of pings forward jobs without steps.

--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -29,6 +29,9 @@
 	// retryAfter is the retry delay in the gate's own answers to callers. Callers whose
 	// connection broke receive none and retry after 1.3 s (see the pings of package group).
 	retryAfter = time.Second
+	// maxDispatcherFailures is the number of dispatchers that may panic while they admit a
+	// job before it is given up: each of them steps down.
+	maxDispatcherFailures = 2
 )
 
 // Gate forwards jobs and counts those that are pending, which means not answered yet. Its
@@ -95,6 +98,7 @@
 	age := r.Age
 	noLeaderSince := time.Time{}
 	offloadTried := false
+	failures := 0
 	for {
 		now := time.Now()
 		r.Age, r.RemainingWait = age+now.Sub(startedAt), deadline.Sub(now)
@@ -123,6 +127,12 @@
 			continue
 		}
 		r.MayBeRunning = r.MayBeRunning || result.MayBeRunning
+		if result.DispatcherFailed {
+			failures++
+		}
+		if failures >= maxDispatcherFailures {
+			return pool.Answer{Outcome: job.Failed, Reason: "dispatchers failed while they admitted it"}
+		}
 		if ctx.Err() != nil || !wait(ctx, nil, retryInterval) {
 			return gateAnswer(r, "the caller left or its time is over")
 		}
--- a/tamarackpin/internal/gate/gate_test.go
+++ b/tamarackpin/internal/gate/gate_test.go
@@ -1,10 +1,20 @@
 package gate
 
 import (
+	"context"
 	"testing"
+	"time"
 
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/lead"
+	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/routes"
+	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/tamarackpin/internal/fleet"
 	"tamarackpin.example/tamarackpin/internal/group"
+	"tamarackpin.example/tamarackpin/internal/peer"
 )
 
 // TestSlowLeaderKeepsItsJobs guards against withdrawing the jobs of a leader whose
@@ -28,3 +38,34 @@
 		}
 	}
 }
+
+// TestJobThatDispatchersFailOnIsGivenUp guards against a job that is forwarded to one
+// dispatcher after the other, each of which panics and steps down.
+func TestJobThatDispatchersFailOnIsGivenUp(t *testing.T) {
+	k := fleet.NewKnowledge(vm.Presence{VM: "ip-0a000001", FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
+	var x peer.Mux
+	g := group.New(time.Now().Add(-time.Minute), group.Config{Knowledge: k, Syncer: &fleet.Syncer{Knowledge: k, Log: zap.NewNop()}, Log: zap.NewNop()}, &x)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.Run(ctx)
+	}()
+	defer func() {
+		stop()
+		<-done
+	}()
+	for end := time.Now().Add(10 * time.Second); !g.HasLeader(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the only VM does not lead")
+		}
+	}
+	gate := &Gate{Group: g, Knowledge: k, Log: zap.NewNop(), OnAnswer: func(routes.RowName, job.Outcome, time.Duration) {}}
+	poison := job.Job{ID: "poison", Steps: []job.Step{{Count: 1, After: []int{5}}}}
+	const wait = 20 * time.Second
+	startedAt := time.Now()
+	a := gate.Run(ctx, pool.Request{Job: poison, RemainingWait: wait})
+	if took := time.Since(startedAt); a.Outcome != job.Failed || took > wait/2 {
+		t.Errorf("answer %+v after %s, want failed after two dispatchers", a, took)
+	}
+}
--- a/tamarackpin/internal/group/contain_test.go
+++ b/tamarackpin/internal/group/contain_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
 )
@@ -50,3 +51,27 @@
 		t.Errorf("reply %+v, want none", r)
 	}
 }
+
+// TestJobThatPanicsIsReported guards against a job that costs one leadership after the
+// other: its gate is told that the dispatcher failed, and does not wait for another one to
+// forward it to, again and again.
+func TestJobThatPanicsIsReported(t *testing.T) {
+	g, _ := newLeadingGroup(t)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.Run(ctx)
+	}()
+	defer func() {
+		stop()
+		<-done
+	}()
+	poison := pool.Request{Job: job.Job{ID: "poison", Steps: []job.Step{{Count: 1, After: []int{5}}}}, RemainingWait: time.Second}
+	callCtx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer cancel()
+	result := g.Forward(callCtx, Leader{VM: g.self.VM}, 1, poison)
+	if !result.DispatcherFailed || result.Answered || callCtx.Err() != nil {
+		t.Errorf("result %+v after the call's time is over: %v; want a failed dispatcher at once", result, callCtx.Err())
+	}
+}
--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"tamarackpin.example/internal/code"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/vm"
@@ -14,8 +17,11 @@
 type ForwardResult struct {
 	Answer       pool.Answer
 	Answered     bool
-	MayBeRunning bool  // tasks may have been started; valid only if !Answered
-	Err          error // why there was no answer; nil if the VM replied without one
+	MayBeRunning bool // tasks may have been started; valid only if !Answered
+	// DispatcherFailed reports that the dispatcher panicked while it admitted the job; it has
+	// stepped down.
+	DispatcherFailed bool
+	Err              error // why there was no answer; nil if the VM replied without one
 }
 
 // withdrawTimeout bounds the notification of a leader that a job is withdrawn.
@@ -51,7 +57,9 @@
 	if to.VM != g.self.VM {
 		go g.notifyWithdrawn(context.WithoutCancel(ctx), to.VM, withdrawal{req.Ticket, r.Job.ID})
 	}
-	return ForwardResult{MayBeRunning: true, Err: err}
+	var failure *code.Error
+	panicked := errors.As(err, &failure) && failure.Code == code.Internal
+	return ForwardResult{MayBeRunning: true, DispatcherFailed: panicked, Err: err}
 }
 
 // recordAnswer records that another VM answered a job as the leader of its group.
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -100,12 +100,18 @@
 func (g *Group) runJob(ctx context.Context, req forwardRequest) (forwardReply, error) {
 	done := make(chan result, 1)
 	admitted := make(chan bool, 1)
-	err := g.ring.Put(ctx, func(g *Group, now time.Time) { admitted <- g.admit(now, req, done) })
+	err := g.ring.Put(ctx, func(g *Group, now time.Time) {
+		defer close(admitted) // without a value if admit panics
+		admitted <- g.admit(now, req, done)
+	})
 	if err != nil {
 		return forwardReply{}, code.New(code.Cancelled, "the gate left before the job was taken in")
 	}
 	select {
-	case ok := <-admitted:
+	case ok, returned := <-admitted:
+		if !returned {
+			return forwardReply{}, code.New(code.Internal, "the dispatcher failed while it admitted job %s", req.Request.Job.ID)
+		}
 		if !ok {
 			return forwardReply{}, nil
 		}
