Workers that do not guard their capacity are not filled beyond it

Announcements were followed; but a worker without recent announcements counted as alive by its replies alone (up to 30 s), a new incarnation got tasks before it had said how large it is, and the table's AdmissionCheck was not read.

Now a service without it is marked unguarded in the table, its jobs carry that, and its workers get tasks only with an announcement of the same incarnation younger than 3.75 s; a shrunk capacity may be used for the contact time (3 s) and one beat (1.5 s). Guarded services are served as before.

TestUnknownCapacityIsNotFilled and TestCapacityOfNewIncarnationIsAwaited failed before. TestCapacityThatShrinksWhileTasksRun and the random schedules (TestUnguardedWorkersAreNotOverfilled) passed; planted faults (capacity not followed, stops that free at once) fail them.

--- /dev/null
+++ b/internal/pool/capacity_test.go
@@ -0,0 +1,150 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/worker"
+)
+
+// capacityNotice is how long after it shrank a worker's former capacity may still be used:
+// the contact time of the deployments (3 s) and one announcement interval, as the platform
+// states it.
+const capacityNotice = 4500 * time.Millisecond
+
+// announceCapacity announces another capacity of a worker of a harness.
+func (h *harness) announceCapacity(id string, sequence uint64, milliCores int) {
+	h.pool.UpdateWorker(h.now, worker.Record{AnnouncedAt: h.now, Announcement: worker.Announcement{
+		Worker: worker.ID(id), Incarnation: 1, Sequence: sequence, Service: "s", Address: id,
+		Capacity: worker.Resources{MilliCores: milliCores, MemoryMB: 1000}, Clock: worker.Clock(time.Hour + h.now.Sub(time.Unix(1000, 0))),
+	}})
+}
+
+// unguarded returns a request of one task for workers that do not guard their capacity.
+func unguarded(id string) Request {
+	r := request(id, 1, 200*time.Millisecond)
+	r.Unguarded, r.RemainingWait = true, 20*time.Second
+	return r
+}
+
+// startedJobs acknowledges the pending starts and returns the ids of their jobs.
+func (h *harness) startedJobs() (ids []job.ID) {
+	for _, o := range h.ordersOfKind(StartOrder) {
+		ids = append(ids, o.Task.Job)
+		h.reply(o, Reply{Done: true})
+	}
+	return ids
+}
+
+// TestCapacityThatShrinksWhileTasksRun guards against starts beyond the capacity of a worker
+// that shrinks under its runs and grows again.
+func TestCapacityThatShrinksWhileTasksRun(t *testing.T) {
+	h := newHarness(t, 1)
+	for i := range 5 {
+		h.pool.Submit(h.now, unguarded(fmt.Sprint("j", i)))
+	}
+	if ids := h.startedJobs(); len(ids) != 2 {
+		t.Fatalf("started %v on a worker with room for two", ids)
+	}
+	h.announceCapacity("w0", 2, 8000)
+	h.advance(10 * time.Millisecond)
+	h.endRun(1, job.Task{Job: "j0"}, job.Task{Job: "j1"})
+	if ids := h.startedJobs(); len(ids) != 0 {
+		t.Errorf("started %v beside a run that fills the worker", ids)
+	}
+	h.advance(10 * time.Millisecond)
+	h.endRun(2, job.Task{Job: "j1"})
+	if ids := h.startedJobs(); len(ids) != 1 {
+		t.Errorf("started %v on a worker with room for one", ids)
+	}
+	h.announceCapacity("w0", 3, 16000)
+	if ids := h.startedJobs(); len(ids) != 1 {
+		t.Errorf("started %v on a worker that has room for another one again", ids)
+	}
+}
+
+// TestUnknownCapacityIsNotFilled: while no announcement arrives, replies show that a worker
+// lives, not what its capacity is. A worker that refuses what does not fit is used on.
+func TestUnknownCapacityIsNotFilled(t *testing.T) {
+	for _, guarded := range []bool{false, true} {
+		h := newHarness(t, 1)
+		for range 200 {
+			h.advance(20 * time.Millisecond)
+			for _, o := range h.ordersOfKind(RenewOrder) {
+				h.reply(o, Reply{Done: true})
+			}
+		}
+		r := unguarded("late")
+		r.Unguarded = !guarded
+		h.pool.Submit(h.now, r)
+		if ids := h.startedJobs(); (len(ids) > 0) != guarded {
+			t.Errorf("guarded %v: started %v, 4 s after the last announcement", guarded, ids)
+		}
+	}
+}
+
+// TestCapacityOfNewIncarnationIsAwaited: a worker that restarts may come back smaller.
+func TestCapacityOfNewIncarnationIsAwaited(t *testing.T) {
+	h := newHarness(t, 1)
+	h.pool.Submit(h.now, unguarded("first"))
+	start := h.ordersOfKind(StartOrder)[0]
+	r := Reply{Order: start, ReceivedAt: h.now, Refusal: RefusedUnhealthy, RepliedBy: 2, Clock: worker.Clock(time.Second), HasClock: true}
+	h.pool.Receive(h.now, r)
+	h.advance(time.Second)
+	if ids := h.startedJobs(); len(ids) > 0 {
+		t.Errorf("started %v on an incarnation whose capacity is not known", ids)
+	}
+	h.announce("w0", 2)
+	h.advance(20 * time.Millisecond)
+	if ids := h.startedJobs(); len(ids) != 1 {
+		t.Errorf("started %v once its capacity is known, want the job", ids)
+	}
+}
+
+// checkCapacity records an error if a start brings a worker over its capacity. One that
+// shrank counts capacityNotice later.
+func (sim *simulation) checkCapacity(s *simWorker, o Order) {
+	limit := 2
+	if sim.now.Before(s.shrunkUntil) && sim.now.Sub(s.shrunkSince) > capacityNotice {
+		limit = 1
+	}
+	if len(s.running) >= limit && sim.overfilled == nil {
+		sim.overfilled = fmt.Errorf("at %s task %v starts as number %d on %s, ordered %s ago", sim.now.Sub(time.Unix(1000, 0)), o.Task, len(s.running)+1, s.id, sim.now.Sub(o.Sent))
+	}
+}
+
+// shrinkOrGrow changes the capacity of a worker at random.
+func (sim *simulation) shrinkOrGrow() {
+	s := sim.workers[sim.capacities.IntN(simWorkers)]
+	if sim.capacities.IntN(400) == 0 && !sim.now.Before(s.shrunkUntil) {
+		s.shrunkSince, s.shrunkUntil = sim.now, sim.now.Add(time.Duration(sim.capacities.IntN(8000))*time.Millisecond)
+		sim.stats["shrinks"]++
+	}
+}
+
+// TestUnguardedWorkersAreNotOverfilled runs the random schedules with workers that start
+// whatever they are ordered to, and whose capacity shrinks and grows.
+func TestUnguardedWorkersAreNotOverfilled(t *testing.T) {
+	shrinks := 0
+	for seed := range uint64(scheduleSeeds) {
+		sim := newSimulation(seed, noFault)
+		sim.capacities = rand.New(rand.NewPCG(seed, 2))
+		for range scheduleSteps {
+			sim.shrinkOrGrow()
+			if err := sim.step(); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			if sim.overfilled != nil {
+				t.Errorf("seed %d: %v", seed, sim.overfilled)
+				break
+			}
+		}
+		shrinks += sim.stats["shrinks"]
+	}
+	if shrinks < scheduleSeeds {
+		t.Errorf("capacity shrank %d times in %d schedules, too few for the test to be conclusive", shrinks, scheduleSeeds)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -160,7 +160,7 @@
 		p.handleRestart(now, w, rec)
 	}
 	w.free = w.free.Add(rec.Capacity.Sub(w.Capacity))
-	w.Record = rec
+	w.Record, w.announced = rec, true
 	w.timing.Observe(rec.AnnouncedAt, rec.Clock)
 	p.poll(now, w)
 	p.scheduleTasks(now)
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -29,6 +29,9 @@
 	// Offloaded reports that the job was offloaded here by another group: it is
 	// refused at once if it would be late here.
 	Offloaded bool `json:"Guest"`
+	// Unguarded reports that the workers of Service start tasks beyond their capacity, so
+	// that the dispatcher has to know it, see workerState.capacityKnown.
+	Unguarded bool `json:",omitempty"`
 }
 
 // Answer is the outcome of an Admission. It answers every Request that returned that
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -58,6 +58,8 @@
 	deadline    worker.Clock
 	running     map[job.Task]simRun
 	highestRun  map[job.Task]job.Run // stopped, ended or running
+	shrunkUntil time.Time            // its capacity is half until then
+	shrunkSince time.Time
 	ended       []End
 	lastEnd     uint64
 	sequence    uint64
@@ -100,6 +102,10 @@
 	lastJob          int
 	stats            map[string]int
 	replied          map[int]bool // by order ID: its first reply was delivered
+	// capacities draws when workers shrink and grow, in schedules with unguarded workers;
+	// nil in the others.
+	capacities *rand.Rand
+	overfilled error
 }
 
 func newSimulation(seed uint64, f fault) *simulation {
@@ -127,10 +133,18 @@
 	s.sequence++
 	return worker.Announcement{
 		Worker: s.id, Incarnation: s.incarnation, Sequence: s.sequence, Service: "s", Address: string(s.id),
-		Capacity: worker.Resources{MilliCores: 16000, MemoryMB: 1000}, Clock: s.clock(now),
+		Capacity: s.capacity(now), Clock: s.clock(now),
 	}
 }
 
+// capacity returns what the worker announces: room for two tasks, or for one.
+func (s *simWorker) capacity(now time.Time) worker.Resources {
+	if now.Before(s.shrunkUntil) {
+		return worker.Resources{MilliCores: 8000, MemoryMB: 1000}
+	}
+	return worker.Resources{MilliCores: 16000, MemoryMB: 1000}
+}
+
 // takeover makes a new dispatcher for a group. The gates forward their unanswered
 // jobs to it.
 func (sim *simulation) takeover(g lead.Group) {
@@ -266,6 +280,7 @@
 				Count: 1 + sim.r.IntN(4), Need: worker.Resources{MilliCores: 6800, MemoryMB: 10}, Estimate: time.Duration(20+sim.r.IntN(600)) * time.Millisecond,
 			}}},
 			Row: "row", Service: "s", MaxAttempts: 3, Stretch: 3, Latency: time.Second, RemainingWait: 4 * time.Second,
+			Unguarded: sim.capacities != nil,
 		}
 		sim.jobs[r.Job.ID] = r
 		if p, ok := sim.owner(string(r.Job.ID)); ok {
@@ -460,7 +475,9 @@
 	if o.Run <= s.highestRun[o.Task] && sim.fault != faultStoppedRunStarted {
 		return RefusedOld
 	}
-	if len(s.running) >= 2 {
+	if sim.capacities != nil {
+		sim.checkCapacity(s, o)
+	} else if len(s.running) >= 2 {
 		return RefusedRoom
 	}
 	s.highestRun[o.Task] = o.Run
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -166,7 +166,7 @@
 	var bestTime time.Duration
 	bestMeets := false
 	for _, w := range candidates {
-		if !fits(w, t) || p.runsSuspect(w) {
+		if !fits(w, t) || p.runsSuspect(w) || t.job.Unguarded && !w.capacityKnown(now) {
 			continue
 		}
 		factor := p.estimator.Factor(w.Kind, w.Worker)
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -142,6 +142,7 @@
 
 	unackedStarts   []unackedStart // recent starts without a reply; a new incarnation may still carry them out
 	lateOrdersUntil time.Time      // until then, late orders may extend leases on a new incarnation
+	announced       bool           // this incarnation has announced itself
 	runsKnown       bool           // its list of runs is current enough to assign tasks; false before the first list and after RefusedRoom
 	endsSeen        uint64         // ends up to this number were handled
 	renewPending    bool           // a renewal was sent and has no reply yet
@@ -162,6 +163,11 @@
 	return w.runsKnown && !w.stale && w.missedReplies == 0 && w.alive(now) && !now.Before(w.backoffUntil)
 }
 
+// capacityKnown reports whether w recently announced its capacity, which may shrink and
+// grow while it runs. Workers that are not guarded get no task otherwise: for guarded ones
+// a reply shows that they are alive, and they refuse what does not fit.
+func (w *workerState) capacityKnown(now time.Time) bool { return w.announced && w.Usable(now) }
+
 // alive reports whether w recently announced itself or replied. Announcements do
 // not arrive while all control VMs, which forward them, are lost.
 func (w *workerState) alive(now time.Time) bool {
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -38,6 +39,9 @@
 type Service struct {
 	Name           worker.Service `json:"name"`
 	MaxConnections int            `json:"max_connections"` // to each worker
+	// Unguarded reports that its workers start whatever they are ordered to, also beyond
+	// their capacity.
+	Unguarded bool `json:"unguarded,omitempty"`
 }
 
 // Limits bounds what callers send.
@@ -128,6 +132,13 @@
 	return row, path[len(row.Prefix):], true
 }
 
+// Unguarded reports whether the workers of service s rely on the dispatcher to keep them
+// within their capacity. A service that is not in the table counts as unguarded.
+func (t *Table) Unguarded(s worker.Service) bool {
+	i := slices.IndexFunc(t.Services, func(o Service) bool { return o.Name == s })
+	return i < 0 || t.Services[i].Unguarded
+}
+
 // Later returns the table that counts, of the one held and a next one.
 func Later(held, next *Table) *Table {
 	if held == nil || next != nil && next.Version > held.Version {
