A worker that refuses starts for want of room is tried less and less

A worker that guards its capacity and shrank was ordered a start every 30 ms until its next announcement, up to 1.5 s later: each is refused and priced, and delays the job that another worker could have. The backoff now doubles, and ends when a run ends there or the worker announces itself.

--- a/internal/pool/capacity_test.go
+++ b/internal/pool/capacity_test.go
@@ -86,6 +86,40 @@
 	}
 }
 
+// TestShrunkWorkerIsNotTriedAgainAndAgain guards against a start every few milliseconds
+// on a worker that shrank and refuses what does not fit, until it announces that.
+func TestShrunkWorkerIsNotTriedAgainAndAgain(t *testing.T) {
+	const untilAnnounced, limit = 1500 * time.Millisecond, 6
+	h := newHarness(t, 1)
+	for _, id := range []string{"running", "waiting"} {
+		r := unguarded(id)
+		r.Unguarded = false
+		h.pool.Submit(h.now, r)
+		if id == "running" {
+			h.startedJobs()
+		}
+	}
+	refusals := 0
+	for range untilAnnounced / (10 * time.Millisecond) {
+		for _, o := range h.ordersOfKind(StartOrder) {
+			refusals++
+			h.reply(o, Reply{Refusal: RefusedRoom})
+		}
+		for _, o := range h.ordersOfKind(RenewOrder) {
+			h.reply(o, Reply{Done: true, Running: []RunningTask{{Task: job.Task{Job: "running"}, Run: 1, Percent: int(h.now.UnixMilli() % 1e6 / 20)}}})
+		}
+		h.advance(10 * time.Millisecond)
+	}
+	if refusals > limit {
+		t.Errorf("%d starts were refused for want of room, want at most %d", refusals, limit)
+	}
+	h.announceCapacity("w0", 2, 16000)
+	h.advance(10 * time.Millisecond)
+	if ids := h.startedJobs(); len(ids) != 1 {
+		t.Errorf("started %v once the worker has announced its capacity, want the waiting job", ids)
+	}
+}
+
 // TestCapacityOfNewIncarnationIsAwaited: a worker that restarts may come back smaller.
 func TestCapacityOfNewIncarnationIsAwaited(t *testing.T) {
 	h := newHarness(t, 1)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -161,6 +161,7 @@
 	}
 	w.free = w.free.Add(rec.Capacity.Sub(w.Capacity))
 	w.Record, w.announced = rec, true
+	w.resetRoomRefusals()
 	w.timing.Observe(rec.AnnouncedAt, rec.Clock)
 	p.poll(now, w)
 	p.scheduleTasks(now)
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -125,6 +125,7 @@
 // task is done or waits again, and the job is answered if all its tasks are done or
 // this one has failed MaxAttempts times.
 func (p *Pool) handleEnd(now time.Time, w *workerState, e End) {
+	w.resetRoomRefusals()
 	delete(w.orphans, e.Task)
 	t := w.tasks[e.Task]
 	if t == nil || t.run != e.Run {
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -121,7 +121,8 @@
 	case RefusedOld:
 		t.run++ // a run of this number ended there under another dispatcher
 	case RefusedRoom:
-		w.backoffUntil = later(w.backoffUntil, now.Add(noRoomBackoff))
+		w.roomRetryAt = now.Add(min(noRoomBackoff<<min(w.roomRefusals, 6), maxNoRoomBackoff))
+		w.roomRefusals++
 		w.runsKnown = false // query its runs before it gets new tasks
 	case RefusedUnhealthy, RefusedInvalid:
 		p.recordFailure(now, w)
@@ -137,9 +138,16 @@
 	p.sendStop(now, t)
 }
 
-// noRoomBackoff is the minimum backoff after RefusedRoom. The worker gets new tasks
-// only after it has also listed its runs (runsKnown).
-const noRoomBackoff = 30 * time.Millisecond
+// A worker gets no new tasks for noRoomBackoff after RefusedRoom, doubled for each further
+// one up to maxNoRoomBackoff, and until it has listed its runs (runsKnown). One that goes on
+// refusing has shrunk: it is tried again once a run ends there, or at its next announcement.
+const (
+	noRoomBackoff    = 30 * time.Millisecond
+	maxNoRoomBackoff = time.Second
+)
+
+// resetRoomRefusals ends the backoff after RefusedRoom: w may have room now.
+func (w *workerState) resetRoomRefusals() { w.roomRefusals, w.roomRetryAt = 0, time.Time{} }
 
 // stopTask stops the current run of t, which stays assigned until it is known to
 // have ended.
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -142,6 +142,8 @@
 
 	unackedStarts   []unackedStart // recent starts without a reply; a new incarnation may still carry them out
 	lateOrdersUntil time.Time      // until then, late orders may extend leases on a new incarnation
+	roomRefusals    int            // number of starts refused for want of room since a run ended or it announced itself
+	roomRetryAt     time.Time      // it gets no new task before, after such a refusal
 	announced       bool           // this incarnation has announced itself
 	runsKnown       bool           // its list of runs is current enough to assign tasks; false before the first list and after RefusedRoom
 	endsSeen        uint64         // ends up to this number were handled
@@ -160,7 +162,7 @@
 // eligible reports whether w may get new tasks: its runs are known, it
 // replies, is not leaving and is not in backoff.
 func (w *workerState) eligible(now time.Time) bool {
-	return w.runsKnown && !w.stale && w.missedReplies == 0 && w.alive(now) && !now.Before(w.backoffUntil)
+	return w.runsKnown && !w.stale && w.missedReplies == 0 && w.alive(now) && !now.Before(w.backoffUntil) && !now.Before(w.roomRetryAt)
 }
 
 // capacityKnown reports whether w recently announced its capacity, which may shrink and
