Suspects are looked up once a worker and once a task

The dispatcher asked for each pair of a waiting task and a worker whether that worker runs a suspect, and at each tick for all tasks whether they are deadly. Now a worker is asked once a call, a task once, and all tasks only when the log of crashes has changed.

--- a/internal/crash/log.go
+++ b/internal/crash/log.go
@@ -29,6 +29,7 @@
 	tasks      map[job.Task]*history
 	unresolved map[worker.ID]int // number of losses without final evidence
 	changes    []Record          // not yet taken by TakeChanges
+	version    uint64            // number of changes of any kind
 }
 
 // history has the losses under one task.
@@ -76,6 +77,7 @@
 	}
 	l.countUnresolved(r, 1)
 	h.changedAt = now
+	l.version++
 	return true
 }
 
@@ -152,6 +154,9 @@
 	return verdict(h.losses)
 }
 
+// Version grows with each loss that is added or changed.
+func (l *Log) Version() uint64 { return l.version }
+
 // Empty reports whether no task has losses.
 func (l *Log) Empty() bool { return len(l.tasks) == 0 }
 
--- a/internal/pool/crashes.go
+++ b/internal/pool/crashes.go
@@ -31,16 +31,22 @@
 	}
 }
 
-// failDeadlyJobs answers the pending jobs of which a task is known to crash its workers.
+// failDeadlyJobs answers the pending jobs of which a task is known to crash its workers,
+// if that is known of more tasks than at its last call.
 func (p *Pool) failDeadlyJobs(now time.Time) {
-	if p.crashes.Empty() {
+	if p.crashes.Version() == p.judgedVersion {
 		return
 	}
+	p.judgedVersion = p.crashes.Version()
 	for _, j := range p.pendingJobs(p.isDeadly) {
-		p.answer(now, j, Answer{Outcome: job.Failed, Reason: "workers crashed while they ran one of its tasks"})
+		p.failDeadlyJob(now, j)
 	}
 }
 
+func (p *Pool) failDeadlyJob(now time.Time, j *jobState) {
+	p.answer(now, j, Answer{Outcome: job.Failed, Reason: "workers crashed while they ran one of its tasks"})
+}
+
 // isDeadly reports whether a task of j is known to crash its workers.
 func (p *Pool) isDeadly(j *jobState) bool {
 	return slices.ContainsFunc(j.tasks, func(t *task) bool { return p.crashes.Verdict(t.name) == crash.Deadly })
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -34,7 +34,7 @@
 	}
 	p.jobs[r.Job.ID] = j
 	if p.isDeadly(j) {
-		p.failDeadlyJobs(now)
+		p.failDeadlyJob(now, j)
 		return j.admission
 	}
 	if !p.newlyDivided(now) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -98,6 +98,8 @@
 	estimator Estimator
 	crashes   *crash.Log
 
+	judgedVersion uint64 // of crashes, when failDeadlyJobs last ran
+
 	lastAdmission uint64 // number of the newest Admission
 
 	orders     []Order   // not yet taken by TakePending
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -35,6 +35,7 @@
 	var candidates []*workerState
 	for _, w := range p.byID {
 		if w.free.MilliCores >= least && len(w.orphans) == 0 && w.timing.Known() && w.eligible(now) && !p.runsSuspect(w) {
+			w.reserved = false
 			candidates = append(candidates, w)
 		}
 	}
@@ -159,20 +160,26 @@
 // stalls. Next it prefers the slowest kind that meets the objective, so that fast
 // workers stay free for tasks that need them. If none meets it, the fastest kind
 // is preferred, or nil is returned as long as waiting for a faster worker may still
-// meet the objective. See better for the whole order.
+// meet the objective. See better for the whole order. For a suspect the worker with the
+// fewest tasks is preferred.
 func (p *Pool) selectWorker(now time.Time, candidates []*workerState, t *task) *workerState {
 	work := p.estimator.Work(t.job.Row, t.step)
 	var best *workerState
 	var bestTime time.Duration
 	bestMeets := false
+	suspect := p.isSuspect(t)
 	for _, w := range candidates {
-		if !fits(w, t) || p.runsSuspect(w) || t.job.Unguarded && !w.capacityKnown(now) {
+		if w.reserved || !fits(w, t) || t.job.Unguarded && !w.capacityKnown(now) {
 			continue
 		}
 		factor := p.estimator.Factor(w.Kind, w.Worker)
 		took := time.Duration(float64(work) * factor)
 		meets := t.job.meetsObjective(now, work, factor)
-		if best == nil || p.betterFor(t, w, took, meets, best, bestTime, bestMeets) {
+		better := best == nil || p.better(w, took, meets, best, bestTime, bestMeets)
+		if best != nil && suspect && len(w.tasks) != len(best.tasks) {
+			better = len(w.tasks) < len(best.tasks) // they may be lost with the worker
+		}
+		if better {
 			best, bestTime, bestMeets = w, took, meets
 		}
 	}
@@ -222,15 +229,6 @@
 // the median time between two ends of runs on the workers of a failure domain.
 const waitMargin = 30 * time.Millisecond
 
-// betterFor is better for most tasks. For a suspect the worker with the fewest tasks is
-// preferred, as they may be lost with it.
-func (p *Pool) betterFor(t *task, w *workerState, took time.Duration, meets bool, best *workerState, bestTime time.Duration, bestMeets bool) bool {
-	if len(w.tasks) != len(best.tasks) && p.isSuspect(t) {
-		return len(w.tasks) < len(best.tasks)
-	}
-	return p.better(w, took, meets, best, bestTime, bestMeets)
-}
-
 // better reports whether w is to be preferred to best, the best worker so far. In
 // order of weight: it meets the objective; it has no recent failures or stalls;
 // its kind is slower if it meets the objective, faster if not; it takes less time,
@@ -295,6 +293,7 @@
 	t.percent, t.progressAt = 0, now
 	t.orderedAt, t.ackedAt, t.stopSentAt, t.stopAckedAt = now, time.Time{}, time.Time{}, time.Time{}
 	t.assign(w)
+	w.reserved = p.isSuspect(t)
 	d := p.leaseDeadline(now, w)
 	t.lapsesAt = w.timing.ReachedBy(now, d)
 	p.enqueueOrder(now, w, Order{Kind: StartOrder, Task: t.name, Run: t.run, Spec: t.job.Job.Spec, Deadline: d})
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -135,10 +135,13 @@
 // workerState is what the dispatcher knows of a worker, in its newest incarnation.
 type workerState struct {
 	worker.Record
-	timing  worker.ClockEstimate
-	free    worker.Resources     // capacity without that of the tasks assigned
-	tasks   map[job.Task]*task   // assigned, whatever their phase; their capacity is reserved
-	orphans map[job.Task]job.Run // runs listed that are not assigned here, such as those of jobs not forwarded yet
+	timing worker.ClockEstimate
+	// reserved excludes a candidate of scheduleTasks, which has just started a suspect
+	// there; the next call finds the suspect by runsSuspect.
+	reserved bool
+	free     worker.Resources     // capacity without that of the tasks assigned
+	tasks    map[job.Task]*task   // assigned, whatever their phase; their capacity is reserved
+	orphans  map[job.Task]job.Run // runs listed that are not assigned here, such as those of jobs not forwarded yet
 
 	unackedStarts   []unackedStart // recent starts without a reply; a new incarnation may still carry them out
 	lateOrdersUntil time.Time      // until then, late orders may extend leases on a new incarnation
