A start in doubt counts as one loss, however often its worker restarts

Found when reading the diff: a start without a reply stays assigned to its worker through later incarnations, which may still carry it out, and each restart counted as a crash under the task. A worker that restarts twice condemned a job that may never have run. Only the incarnation that the start was ordered to counts, and later ones that acknowledged it.

TestStartInDoubtCountsOnce: verdict deadly before, suspect now.

--- a/internal/pool/crashes_test.go
+++ b/internal/pool/crashes_test.go
@@ -317,3 +317,18 @@
 		t.Errorf("%d renewals in %s, want at most %d", renewals, length, limit)
 	}
 }
+
+// TestStartInDoubtCountsOnce: the start of a task has no reply, and its worker restarts
+// again and again. Nothing shows that the task ran in the later incarnations.
+func TestStartInDoubtCountsOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	h.pool.Submit(h.now, request("in-doubt", 1, 60*time.Millisecond))
+	h.reply(h.ordersOfKind(StartOrder)[0], Reply{})
+	for incarnation := range 3 {
+		h.advance(200 * time.Millisecond)
+		h.announce("w0", worker.Incarnation(2+incarnation))
+	}
+	if v := h.pool.crashes.Verdict(job.Task{Job: "in-doubt"}); v != crash.Suspect {
+		t.Errorf("verdict %d, want %d", v, crash.Suspect)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -178,7 +178,7 @@
 	p.recordOrphanLosses(now, w, crash.Restarted)
 	var unackedTasks []*task
 	for _, t := range assignedTasks(w) {
-		if t.ackedAt.Before(now) { // not acknowledged by the new incarnation
+		if t.ackedAt.Before(now) && !(t.startInherited && t.ackedAt.IsZero()) { // it may have run in the incarnation that ended
 			p.recordLoss(now, w, t, crash.Restarted)
 		}
 		if t.ackedAt.IsZero() {
@@ -212,7 +212,7 @@
 	w.runsKnown = true
 	p.estimator.ForgetWorker(rec.Worker)
 	for _, t := range unackedTasks {
-		t.phase, t.stopAckedAt, t.lapsesAt = inDoubt, time.Time{}, now.Add(lateOrderLimit)
+		t.phase, t.stopAckedAt, t.lapsesAt, t.startInherited = inDoubt, time.Time{}, now.Add(lateOrderLimit), true
 		p.sendStop(now, t)
 	}
 	for _, s := range unackedStarts {
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -57,8 +57,8 @@
 }
 
 // probeInterval is the least time from the newest renewal to the next one to a worker that
-// missed two replies, and to a probe of one that missed a reply or that needsProbe names. A worker that missed a reply gets no task
-// until it replies.
+// missed two replies, and to a probe of one that missed a reply or that needsProbe names. A
+// worker that missed a reply gets no task until it replies.
 const probeInterval = 150 * time.Millisecond
 
 // handleRenewReply handles the reply to a renewal, or that none came. Ends are handled
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -290,7 +290,7 @@
 	t.run++
 	t.phase = starting
 	t.job.mayHaveStarted = true
-	t.percent, t.progressAt = 0, now
+	t.percent, t.progressAt, t.startInherited = 0, now, false
 	t.orderedAt, t.ackedAt, t.stopSentAt, t.stopAckedAt = now, time.Time{}, time.Time{}, time.Time{}
 	t.assign(w)
 	w.reserved = p.isSuspect(t)
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -35,12 +35,15 @@
 	percent      int       // percentage done, the highest listed of this run
 	progressAt   time.Time // when percent last grew, or when the start was ordered
 
-	worker      *workerState // worker that the task is assigned to; nil if waiting or finished
-	orderedAt   time.Time    // when the start was ordered; equal to Pool.startedAt for an adopted run, which marks it as adopted
-	ackedAt     time.Time    // when the worker acknowledged the start; zero before; see handleNewIncarnation
-	lapsesAt    time.Time    // latest time at which a run of the current start may still execute, if it is never acknowledged
-	stopSentAt  time.Time    // when the newest stop was ordered
-	stopAckedAt time.Time    // when the worker acknowledged a stop; zero before
+	worker    *workerState // worker that the task is assigned to; nil if waiting or finished
+	orderedAt time.Time    // when the start was ordered; equal to Pool.startedAt for an adopted run, which marks it as adopted
+	// startInherited reports that the start was ordered to an earlier incarnation of the
+	// worker. It has no reply, and may still be carried out by this one.
+	startInherited bool
+	ackedAt        time.Time // when the worker acknowledged the start; zero before; see handleNewIncarnation
+	lapsesAt       time.Time // latest time at which a run of the current start may still execute, if it is never acknowledged
+	stopSentAt     time.Time // when the newest stop was ordered
+	stopAckedAt    time.Time // when the worker acknowledged a stop; zero before
 }
 
 // assigned reports whether the task has a worker, on which it may run.
