--- a/tamarackpin/internal/group/crashes.go
+++ b/tamarackpin/internal/group/crashes.go
@@ -28,6 +28,9 @@
 		return // a leader sends them
 	}
 	changes := g.crashes.TakeChanges()
+	if len(changes) == 0 && len(g.startedVMs) == 0 {
+		return
+	}
 	g.logLosses(changes)
 	for id := range g.startedVMs {
 		g.sendCrashes(ctx, id, g.crashes.Records())
