Random schedules with tasks that crash their workers beside late orders, failing

What callers saw: a task that ran twice at once, and a job called failed without cause. The new ones have tasks that crash their workers, hosts that refuse connections until the worker is back 1 to 4 s later under its name, 0, 5, 20 or 40% of the orders carried out 2 to 12 s late, and callers that submit abandoned jobs again. They check each answer that calls a job failed against the runs that crashed or failed.

--- /dev/null
+++ b/internal/pool/crash_schedule_test.go
@@ -0,0 +1,199 @@
+package pool
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"tamarackpin.example/internal/crash"
+	"tamarackpin.example/internal/job"
+)
+
+// hazards adds to a simulation what comes together on the worst days: tasks that crash
+// their workers, workers that are back soon under their name, orders that are carried out
+// seconds late, connections that are refused, and callers that submit a job again.
+type hazards struct {
+	r            *rand.Rand
+	latePercent  int // of the orders
+	crashes      crash.Log
+	dueCrashes   map[time.Time][]*simWorker
+	resubmits    map[time.Time][]job.ID
+	lostUnder    map[job.Task]int // workers that crashed while they ran the task
+	failedRuns   map[job.Task]int
+	calledFailed error // of the first job that was called failed without cause
+}
+
+const (
+	deadlyPercent   = 15 // of the jobs
+	minOrderDelay   = 2 * time.Second
+	maxOrderDelay   = 12 * time.Second
+	maxResubmits    = 3
+	hazardSteps     = 3200
+	refusedDelay    = 2 * time.Millisecond
+	deadlyTaskIndex = 0
+)
+
+func newHazards(seed uint64, latePercent int) *hazards {
+	return &hazards{
+		r: rand.New(rand.NewPCG(seed, 3)), latePercent: latePercent, dueCrashes: make(map[time.Time][]*simWorker),
+		resubmits: make(map[time.Time][]job.ID), lostUnder: make(map[job.Task]int), failedRuns: make(map[job.Task]int),
+	}
+}
+
+// step crashes the workers whose deadly tasks are due, and submits jobs again.
+func (h *hazards) step(sim *simulation) {
+	for _, s := range h.dueCrashes[sim.now] {
+		if sim.now.Before(s.downUntil) {
+			continue
+		}
+		s.start(sim.now)
+		s.downUntil = sim.now.Add(time.Second + time.Duration(h.r.IntN(3000))*time.Millisecond)
+		sim.stats["deadly crashes"]++
+	}
+	delete(h.dueCrashes, sim.now)
+	for _, id := range h.resubmits[sim.now] {
+		delete(sim.outcomes, id)
+		if p, ok := sim.owner(string(id)); ok {
+			p.Submit(sim.now, sim.jobs[id])
+			sim.stats["resubmits"]++
+		}
+	}
+	delete(h.resubmits, sim.now)
+}
+
+// delay has some orders carried out late, without a reply.
+func (h *hazards) delay(sim *simulation, f *scheduledEvent) {
+	if h.r.IntN(100) < h.latePercent {
+		f.at, f.replyLost = sim.now.Add(minOrderDelay+time.Duration(h.r.Int64N(int64(maxOrderDelay-minOrderDelay)))), true
+	}
+}
+
+// refuse has the host of a crashed worker refuse the connection of an order, unless that
+// was delayed.
+func (h *hazards) refuse(sim *simulation, f scheduledEvent) {
+	if !f.replyLost {
+		r := Reply{Order: f.order, Refusal: RefusedUnsent, NoListener: true}
+		sim.events = append(sim.events, scheduledEvent{orderID: f.orderID, pool: f.pool, order: f.order, at: sim.now.Add(refusedDelay), reply: &r})
+	}
+}
+
+// isDeadly reports whether a task crashes its workers.
+func isDeadly(t job.Task) bool {
+	var n int
+	_, _ = fmt.Sscanf(string(t.Job), "j%d", &n)
+	return t.Index == deadlyTaskIndex && n*37%100 < deadlyPercent
+}
+
+// started schedules the crash that a deadly task causes.
+func (h *hazards) started(sim *simulation, s *simWorker, t job.Task) {
+	if isDeadly(t) {
+		at := sim.now.Add(time.Duration(2+h.r.IntN(10)) * stepTime)
+		h.dueCrashes[at] = append(h.dueCrashes[at], s)
+	}
+}
+
+// answered checks that a failed job has a task that failed as often as it may or under
+// which two workers crashed, and has the caller of an abandoned one try again.
+func (h *hazards) answered(sim *simulation, a Answer) {
+	switch a.Outcome {
+	case job.Failed:
+		for t, n := range h.failedRuns {
+			if t.Job == a.Job && n >= sim.jobs[a.Job].MaxAttempts {
+				return
+			}
+		}
+		for t, n := range h.lostUnder {
+			if t.Job == a.Job && n >= 2 {
+				return
+			}
+		}
+		if h.calledFailed == nil {
+			h.calledFailed = fmt.Errorf("at %s job %s is answered failed (%s) although none of its tasks was lost with two workers or failed as often as it may",
+				sim.now.Sub(time.Unix(1000, 0)), a.Job, a.Reason)
+		}
+	case job.Abandoned:
+		if h.r.IntN(maxResubmits+1) > 0 {
+			at := sim.now.Add(resubmitDelay)
+			h.resubmits[at] = append(h.resubmits[at], a.Job)
+		}
+	}
+}
+
+// runCrashSchedule runs one schedule with hazards, to its end or until a task runs twice at
+// once.
+func runCrashSchedule(seed uint64, latePercent int) (*simulation, error) {
+	sim := newSimulation(seed, noFault)
+	sim.hazards = newHazards(seed, latePercent)
+	for _, p := range sim.pools {
+		p.crashes = &sim.hazards.crashes
+	}
+	for _, s := range sim.workers {
+		s.onCrash = func(s *simWorker) {
+			for t := range s.running {
+				sim.hazards.lostUnder[t]++
+			}
+		}
+	}
+	for range hazardSteps {
+		if err := sim.step(); err != nil {
+			return sim, err
+		}
+	}
+	return sim, nil
+}
+
+// moreSchedules is the number of further seeds that are run with hazards, from 1000; CI runs
+// none of them.
+var moreSchedules = flag.Uint64("schedules.more", 0, "number of further seeds for the schedules with hazards")
+
+// hazardSchedules runs the schedules of some seeds, and of those of moreSchedules, each with
+// some shares of late orders, and passes each to check.
+func hazardSchedules(t *testing.T, seeds []uint64, check func(sim *simulation, err error) error) {
+	for more := range *moreSchedules {
+		seeds = append(seeds, 1000+more)
+	}
+	total := make(map[string]int)
+	var mu sync.Mutex // guards total
+	var all sync.WaitGroup
+	running := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for _, seed := range seeds {
+		for _, late := range []int{0, 5, 20, 40} {
+			running <- struct{}{}
+			all.Go(func() {
+				defer func() { <-running }()
+				sim, err := runCrashSchedule(seed, late)
+				if err := check(sim, err); err != nil {
+					t.Errorf("seed %d with %d%% of the orders late: %v", seed, late, err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				for k, n := range sim.stats {
+					total[k] += n
+				}
+			})
+		}
+	}
+	all.Wait()
+	t.Log(total)
+	for _, k := range []string{"jobs", "starts", "completed", "failed", "takeovers", "deadly crashes", "resubmits"} {
+		if total[k] < len(seeds) {
+			t.Errorf("%d %s, too few for the test to be conclusive", total[k], k)
+		}
+	}
+}
+
+// TestLateStartBesideRunElsewhere: a start without a reply is carried out by the next
+// incarnation of its worker while the task runs on another one.
+func TestLateStartBesideRunElsewhere(t *testing.T) {
+	hazardSchedules(t, []uint64{1025, 1048, 1083, 1124, 1125, 1161, 1166, 1168, 1210}, func(_ *simulation, err error) error { return err })
+}
+
+// TestJobCalledFailedWithoutCause: a job is answered as failed although no task of it failed
+// as often as it may or was lost with two workers.
+func TestJobCalledFailedWithoutCause(t *testing.T) {
+	hazardSchedules(t, []uint64{0, 1, 5, 13, 14, 15, 19, 25, 26, 29}, func(sim *simulation, _ error) error { return sim.hazards.calledFailed })
+}
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -45,6 +45,15 @@
 type simRun struct {
 	run              job.Run
 	remaining, total time.Duration
+	order            Order // that started it
+	incarnation      worker.Incarnation
+	startedAt        time.Time
+}
+
+// String says which order started the run, and where it was carried out.
+func (r simRun) String() string {
+	return fmt.Sprintf("run %d started at %s in incarnation %d, ordered %s before under fence %d for incarnation %d",
+		r.run, r.startedAt.Sub(time.Unix(1000, 0)), r.incarnation, r.startedAt.Sub(r.order.Sent), r.order.Fence, r.order.Incarnation)
 }
 
 // simWorker is a worker that carries out orders as the protocol says.
@@ -63,6 +72,7 @@
 	ended       []End
 	lastEnd     uint64
 	sequence    uint64
+	onCrash     func(*simWorker) // called before its runs are lost; may be nil
 }
 
 func (s *simWorker) clock(now time.Time) worker.Clock {
@@ -106,6 +116,7 @@
 	// nil in the others.
 	capacities *rand.Rand
 	overfilled error
+	hazards    *hazards // nil in schedules without
 }
 
 func newSimulation(seed uint64, f fault) *simulation {
@@ -123,7 +134,11 @@
 	return sim
 }
 
+// start begins a new incarnation, without the runs of the last one.
 func (s *simWorker) start(now time.Time) {
+	if s.onCrash != nil {
+		s.onCrash(s)
+	}
 	s.incarnation++
 	s.startedAt, s.fence, s.deadline, s.lastEnd, s.ended, s.sequence = now, 0, 0, 0, nil, 0
 	s.running, s.highestRun = make(map[job.Task]simRun), make(map[job.Task]job.Run)
@@ -149,6 +164,9 @@
 // jobs to it.
 func (sim *simulation) takeover(g lead.Group) {
 	c := Config{Fence: lead.Fence(len(sim.pools) + 1), LeaseMax: time.Second, StopMax: 50 * time.Millisecond}
+	if sim.hazards != nil {
+		c.Crashes = &sim.hazards.crashes
+	}
 	if sim.fault != faultDivisionHidden {
 		c.DividedAt = sim.divisionKnownAt[g]
 	}
@@ -211,6 +229,9 @@
 func (sim *simulation) step() error {
 	sim.now = sim.now.Add(stepTime)
 	sim.injectFault()
+	if sim.hazards != nil {
+		sim.hazards.step(sim)
+	}
 	sim.submit()
 	sim.deliver()
 	for _, s := range sim.workers {
@@ -330,6 +351,9 @@
 		case 1:
 			f.replyLost = true
 		}
+		if sim.hazards != nil {
+			sim.hazards.delay(sim, &f)
+		}
 		sim.events = append(sim.events, f)
 		// Without a reply the dispatcher gets an empty reply after its timeout.
 		sim.events = append(sim.events, scheduledEvent{orderID: f.orderID, pool: i, order: o, at: sim.now.Add(o.Wait + OrderTimeout), reply: &Reply{Order: o}})
@@ -340,6 +364,9 @@
 		}
 		sim.outcomes[a.Job] = a.Outcome
 		sim.stats[string(a.Outcome)]++
+		if sim.hazards != nil {
+			sim.hazards.answered(sim, a)
+		}
 	}
 }
 
@@ -357,6 +384,9 @@
 			continue
 		}
 		s := sim.findWorker(f.order.Worker)
+		if sim.hazards != nil && sim.now.Before(s.downUntil) {
+			sim.hazards.refuse(sim, f)
+		}
 		if sim.now.Before(s.downUntil) || sim.now.Before(sim.partitionedUntil[[2]int{f.pool, sim.workerIndex(s)}]) {
 			continue
 		}
@@ -485,8 +515,11 @@
 	if sim.r.IntN(4) == 0 {
 		takes *= 5
 	}
-	s.running[o.Task] = simRun{o.Run, takes, takes}
+	s.running[o.Task] = simRun{run: o.Run, remaining: takes, total: takes, order: o, incarnation: s.incarnation, startedAt: sim.now}
 	sim.stats["starts"]++
+	if sim.hazards != nil {
+		sim.hazards.started(sim, s, o.Task)
+	}
 	return ""
 }
 
@@ -509,6 +542,9 @@
 			sim.stats["lapsed"]++
 		case run.remaining <= 0 && sim.r.IntN(40) == 0:
 			s.endRun(t, EndedFailed)
+			if sim.hazards != nil {
+				sim.hazards.failedRuns[t]++
+			}
 		case run.remaining <= 0:
 			s.endRun(t, EndedDone)
 		}
@@ -517,13 +553,13 @@
 
 // checkNoConcurrentRuns returns an error if two workers run the same task.
 func (sim *simulation) checkNoConcurrentRuns() error {
-	runsOn := make(map[job.Task]worker.ID)
+	runsOn := make(map[job.Task]*simWorker)
 	for _, s := range sim.workers {
-		for t := range s.running {
-			if other, twice := runsOn[t]; twice {
-				return fmt.Errorf("at %s task %v runs on %s and %s", sim.now.Sub(time.Unix(1000, 0)), t, other, s.id)
+		for t, run := range s.running {
+			if other := runsOn[t]; other != nil {
+				return fmt.Errorf("at %s task %v runs on %s and %s: %s; %s", sim.now.Sub(time.Unix(1000, 0)), t, other.id, s.id, other.running[t], run)
 			}
-			runsOn[t] = s.id
+			runsOn[t] = s
 		}
 	}
 	return nil
