Starts without a reply are recorded, shared and logged

Change: package latestart has a log of the starts without a reply; event 816 names each, 817 each run that a worker lists although its dispatcher did not order it there, with the worker that has the task otherwise. Decisions are unchanged.

--- /dev/null
+++ b/internal/latestart/log.go
@@ -0,0 +1,190 @@
+// Package latestart records starts of tasks that got no reply. The worker may carry out
+// such an order seconds after it was sent, even in a later incarnation, which knows nothing
+// of what the one before was told. Until then a dispatcher (package pool) starts the task
+// nowhere else.
+package latestart
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/worker"
+)
+
+// Log holds the starts without a reply that may still be carried out. It is not safe for
+// concurrent use. The zero Log is empty.
+type Log struct {
+	tasks   map[job.Task][]*entry
+	workers map[worker.ID][]*entry // the same entries
+	changes []Record               // not yet taken by TakeChanges
+}
+
+// entry is a start without a reply.
+type entry struct {
+	Record
+	stopSentAt time.Time
+	// barredIn is the newest incarnation that acknowledged a stop of the run, so that it will
+	// not start the run any more; if it had started the run, that ends by barredAt.
+	barredIn worker.Incarnation
+	barredAt time.Time
+}
+
+// Add records a start without a reply. A repeated start of the same run moves the expiry.
+func (l *Log) Add(now time.Time, r Record) {
+	if l.put(now, r) {
+		l.changes = append(l.changes, r)
+	}
+}
+
+// Merge records starts that another entry VM has reported.
+func (l *Log) Merge(now time.Time, records []Record) {
+	for _, r := range records {
+		l.put(now, r)
+	}
+}
+
+// put adds a Record and reports whether it is new or expires later than the known one.
+func (l *Log) put(now time.Time, r Record) bool {
+	if !now.Before(r.Expires) {
+		return false
+	}
+	i := slices.IndexFunc(l.tasks[r.Task], func(e *entry) bool { return e.Run == r.Run && e.Worker == r.Worker })
+	if i >= 0 {
+		known := l.tasks[r.Task][i]
+		if !r.Expires.After(known.Expires) {
+			return false
+		}
+		known.Expires = r.Expires
+		return true
+	}
+	if l.tasks == nil {
+		l.tasks, l.workers = make(map[job.Task][]*entry), make(map[worker.ID][]*entry)
+	}
+	e := &entry{Record: r}
+	l.tasks[r.Task] = append(l.tasks[r.Task], e)
+	l.workers[r.Worker] = append(l.workers[r.Worker], e)
+	return true
+}
+
+// Empty reports whether no start may still be carried out.
+func (l *Log) Empty() bool { return len(l.tasks) == 0 }
+
+// Permits reports whether a task may start on an incarnation of a worker: no late start of
+// it can be carried out on another worker, nor on this one beside the new run.
+func (l *Log) Permits(now time.Time, t job.Task, id worker.ID, i worker.Incarnation) bool {
+	for _, e := range l.tasks[t] {
+		if now.Before(e.Expires) && (e.Worker != id || e.barredIn != i || now.Before(e.barredAt)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Workers returns the workers that may carry out a late start of a task, and the time by
+// which none will.
+func (l *Log) Workers(now time.Time, t job.Task) (ids []worker.ID, until time.Time) {
+	for _, e := range l.tasks[t] {
+		if !now.Before(e.Expires) {
+			continue
+		}
+		if !slices.Contains(ids, e.Worker) {
+			ids = append(ids, e.Worker)
+		}
+		if e.Expires.After(until) {
+			until = e.Expires
+		}
+	}
+	return ids, until
+}
+
+// Tasks returns the tasks that have Records, in order.
+func (l *Log) Tasks() []job.Task { return slices.SortedFunc(maps.Keys(l.tasks), job.Task.Compare) }
+
+// HighestRun returns the highest run of a task in the log, or 0.
+func (l *Log) HighestRun(t job.Task) job.Run {
+	var highest job.Run
+	for _, e := range l.tasks[t] {
+		highest = max(highest, e.Run)
+	}
+	return highest
+}
+
+// TakeDueStops returns the starts on an incarnation of a worker that it may still carry out
+// and whose newest stop is older than interval, and notes that they are stopped now.
+func (l *Log) TakeDueStops(now time.Time, id worker.ID, i worker.Incarnation, interval time.Duration) []Record {
+	var due []Record
+	for _, e := range l.workers[id] {
+		if e.barredIn != i && now.Before(e.Expires) && now.Sub(e.stopSentAt) >= interval {
+			e.stopSentAt = now
+			due = append(due, e.Record)
+		}
+	}
+	return due
+}
+
+// Bar records that an incarnation of a worker acknowledged a stop of a run, which also
+// excludes lower ones. A run that it stopped ends by endsBy.
+func (l *Log) Bar(t job.Task, run job.Run, id worker.ID, i worker.Incarnation, endsBy time.Time) {
+	for _, e := range l.tasks[t] {
+		if e.Worker == id && e.Run <= run && e.barredIn != i {
+			e.barredIn, e.barredAt = i, endsBy
+		}
+	}
+}
+
+// Forget drops the starts on a worker, of which another worker at its address is known to
+// refuse all.
+func (l *Log) Forget(id worker.ID) {
+	for _, e := range l.workers[id] {
+		l.remove(e)
+	}
+	delete(l.workers, id)
+}
+
+// Expire drops the starts that cannot be carried out any more.
+func (l *Log) Expire(now time.Time) {
+	for id, list := range l.workers {
+		l.workers[id] = slices.DeleteFunc(list, func(e *entry) bool {
+			expired := !now.Before(e.Expires)
+			if expired {
+				l.remove(e)
+			}
+			return expired
+		})
+		if len(l.workers[id]) == 0 {
+			delete(l.workers, id)
+		}
+	}
+}
+
+// remove removes an entry from its task.
+func (l *Log) remove(e *entry) {
+	l.tasks[e.Task] = slices.DeleteFunc(l.tasks[e.Task], func(o *entry) bool { return o == e })
+	if len(l.tasks[e.Task]) == 0 {
+		delete(l.tasks, e.Task)
+	}
+}
+
+// TakeChanges returns the Records that were added or changed since its last call, except by
+// Merge.
+func (l *Log) TakeChanges() []Record {
+	changes := l.changes
+	l.changes = nil
+	return changes
+}
+
+// Records returns all Records that have not expired, sorted.
+func (l *Log) Records(now time.Time) []Record {
+	var list []Record
+	for _, entries := range l.tasks {
+		for _, e := range entries {
+			if now.Before(e.Expires) {
+				list = append(list, e.Record)
+			}
+		}
+	}
+	slices.SortFunc(list, Record.compare)
+	return list
+}
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/latestart"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/worker"
 )
@@ -73,6 +74,15 @@
 	EndedRuns []End         // of a renewal: the ends after EndsSeen
 }
 
+// Unanswered reports that there was no reply, so that the order may have been carried out, or
+// may still be.
+func (r Reply) Unanswered() bool { return !r.Done && r.Refusal == "" }
+
+// LateStart returns the record of a start without a reply.
+func (r Reply) LateStart() latestart.Record {
+	return latestart.Record{Task: r.Task, Run: r.Run, Worker: r.Worker, Expires: r.Sent.Add(lateOrderLimit)}
+}
+
 // RunningTask is one entry of a worker's list of its runs.
 type RunningTask struct {
 	Task    job.Task
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,6 +36,7 @@
 
 	"tamarackpin.example/internal/crash"
 	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/latestart"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/worker"
 )
@@ -55,6 +56,9 @@
 	// Crashes has the workers that were lost under tasks, also under earlier
 	// dispatchers; nil means none. The Pool adds to it.
 	Crashes *crash.Log
+	// LateStarts has the starts without a reply, also those of earlier dispatchers; nil means
+	// none. The Pool adds to it.
+	LateStarts *latestart.Log
 }
 
 // Bounds of leases, orders and backoff.
@@ -90,22 +94,24 @@
 // Pool schedules the tasks of one group of workers under one fence. It must be
 // made by [New] and is not safe for concurrent use.
 type Pool struct {
-	config    Config
-	startedAt time.Time
-	workers   map[worker.ID]*workerState
-	byID      []*workerState // workers sorted by id, so that equal inputs lead to equal decisions
-	jobs      map[job.ID]*jobState
-	estimator Estimator
-	crashes   *crash.Log
+	config     Config
+	startedAt  time.Time
+	workers    map[worker.ID]*workerState
+	byID       []*workerState // workers sorted by id, so that equal inputs lead to equal decisions
+	jobs       map[job.ID]*jobState
+	estimator  Estimator
+	crashes    *crash.Log
+	lateStarts *latestart.Log
 
 	judgedVersion uint64 // of crashes, when giveUpJobs last ran
 
 	lastAdmission uint64 // number of the newest Admission
 
-	orders     []Order   // not yet taken by TakePending
-	answers    []Answer  // not yet taken by TakePending
-	lastShedAt time.Time // when shedLoad last ran
-	fenced     bool      // a worker refused the fence: nothing more is ordered
+	orders     []Order    // not yet taken by TakePending
+	answers    []Answer   // not yet taken by TakePending
+	found      []FoundRun // not yet taken by TakeFound
+	lastShedAt time.Time  // when shedLoad last ran
+	fenced     bool       // a worker refused the fence: nothing more is ordered
 	Counts     Counts
 }
 
@@ -127,8 +133,12 @@
 	if crashes == nil {
 		crashes = &crash.Log{}
 	}
+	lateStarts := c.LateStarts
+	if lateStarts == nil {
+		lateStarts = &latestart.Log{}
+	}
 	return &Pool{
-		config: c, startedAt: now, crashes: crashes,
+		config: c, startedAt: now, crashes: crashes, lateStarts: lateStarts,
 		workers: make(map[worker.ID]*workerState), jobs: make(map[job.ID]*jobState),
 		Counts: Counts{RefusedOrders: make(map[Refusal]int)},
 	}
@@ -141,6 +151,23 @@
 	return orders, answers
 }
 
+// FoundRun is a run that a worker listed although this Pool had not ordered it there: one of an
+// earlier dispatcher, or a late start.
+type FoundRun struct {
+	Task        job.Task
+	Run         job.Run
+	Worker      worker.ID
+	Incarnation worker.Incarnation
+	AssignedTo  worker.ID // worker on which this Pool has the task; empty if none
+}
+
+// TakeFound returns the runs found since its last call.
+func (p *Pool) TakeFound() []FoundRun {
+	found := p.found
+	p.found = nil
+	return found
+}
+
 // Fenced reports whether a worker refused the Pool's fence.
 func (p *Pool) Fenced() bool { return p.fenced }
 
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -103,12 +103,16 @@
 			p.forgetIfDone(t.job)
 		}
 	}
-	clear(w.orphans)
+	known := w.orphans
+	w.orphans = make(map[job.Task]job.Run)
 	for _, row := range r.Running {
 		name := row.Task
 		if w.tasks[name] != nil {
 			continue
 		}
+		if _, isKnown := known[name]; !isKnown {
+			p.recordFound(w, row)
+		}
 		w.orphans[name] = row.Run
 		if j := p.jobs[name.Job]; j != nil && !j.closed && !p.newlyDivided(now) {
 			p.adopt(j)
@@ -121,6 +125,17 @@
 	}
 }
 
+// recordFound records a run that w lists and that is not assigned to it.
+func (p *Pool) recordFound(w *workerState, row RunningTask) {
+	f := FoundRun{Task: row.Task, Run: row.Run, Worker: w.Worker, Incarnation: w.Incarnation}
+	if j := p.jobs[row.Task.Job]; j != nil {
+		if t := j.task(row.Task); t != nil && t.worker != nil {
+			f.AssignedTo = t.worker.Worker
+		}
+	}
+	p.found = append(p.found, f)
+}
+
 // handleEnd processes the end of a run on w; ends of superseded runs are ignored. The
 // task is done or waits again, and the job is answered if all its tasks are done or
 // this one has failed MaxAttempts times.
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -10,6 +10,9 @@
 // Receive handles the reply to an order, or that none came in time (see [Reply]).
 // Replies about an earlier incarnation are ignored.
 func (p *Pool) Receive(now time.Time, r Reply) {
+	if r.Kind == StartOrder && r.Unanswered() {
+		p.lateStarts.Add(now, r.LateStart())
+	}
 	w := p.workers[r.Worker]
 	if w == nil {
 		return
@@ -41,9 +44,9 @@
 		return
 	case r.Refusal == RefusedIncarnation:
 		p.handleIncarnationGone(now, w)
-	case !r.Done && (r.Refusal == "" || r.Refusal == RefusedUnsent):
+	case r.Unanswered() || r.Refusal == RefusedUnsent:
 		w.missedReplies++
-		if r.Refusal == "" && r.Deadline != 0 {
+		if r.Unanswered() && r.Deadline != 0 {
 			w.lateOrdersUntil = later(w.lateOrdersUntil, r.Sent.Add(lateOrderLimit))
 		}
 	}
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -95,6 +95,16 @@
 	j.remaining = len(j.tasks)
 }
 
+// task returns the task of j with a name, or nil if it has none.
+func (j *jobState) task(name job.Task) *task {
+	for _, t := range j.tasks {
+		if t.name == name {
+			return t
+		}
+	}
+	return nil
+}
+
 // begun reports whether a task of j is done or has a worker.
 func (j *jobState) begun() bool {
 	return j.remaining < len(j.tasks) || slices.ContainsFunc(j.tasks, (*task).assigned)
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -29,7 +29,7 @@
 		if claim, claimed := s.leadership.Tick(now, controlReplyAt, others); claimed {
 			event.Log(g.config.Log, event.LeadTaken, zap.Int("group", i), zap.Int64("fence", int64(claim.Fence)), zap.Int("living", len(s.leadership.LivePeers(now))))
 			s.dropPool()
-			s.pool = pool.New(now, pool.Config{Fence: claim.Fence, LeaseMax: g.config.LeaseMax, StopMax: g.config.StopMax, DividedAt: g.dividedAt, WorkersIncomplete: g.workersIncomplete(now), Crashes: &g.crashes})
+			s.pool = pool.New(now, pool.Config{Fence: claim.Fence, LeaseMax: g.config.LeaseMax, StopMax: g.config.StopMax, DividedAt: g.dividedAt, WorkersIncomplete: g.workersIncomplete(now), Crashes: &g.crashes, LateStarts: &g.lateStarts})
 			s.cursor, g.workersUpdatedAt = 0, time.Time{}
 		}
 		if leaderless {
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -25,6 +25,7 @@
 
 	"tamarackpin.example/internal/crash"
 	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/latestart"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/ring"
@@ -101,7 +102,9 @@
 	groups           []*groupState // by group of the division
 	workersUpdatedAt time.Time     // when the pools last received the workers
 	earlyWithdrawals withdrawals
-	crashes          crash.Log                // of the tasks of all groups
+	crashes          crash.Log     // of the tasks of all groups
+	lateStarts       latestart.Log // of the tasks of all groups
+	lateStartsSentAt time.Time
 	incarnations     map[vm.ID]vm.Incarnation // of the VMs whose heartbeats arrived
 	startedVMs       map[vm.ID]bool           // VMs that may lack crash records
 	calls            sync.WaitGroup
@@ -202,6 +205,7 @@
 		g.updateWorkers(now)
 		g.redivide(now)
 		g.crashes.Expire(now)
+		g.lateStarts.Expire(now)
 	}
 	for _, s := range g.groups {
 		if s.pool != nil {
@@ -235,6 +239,7 @@
 // applyDecisions sends what the pools decided and recorded, drops the pools of lost leaderships and
 // publishes the leaders.
 func (g *Group) applyDecisions(ctx context.Context, now time.Time) {
+	g.shareLateStarts(ctx, now)
 	g.shareCrashes(ctx)
 	for i, s := range g.groups {
 		if s.pool == nil {
@@ -262,6 +267,7 @@
 	g.logAnswers(s, answers)
 	s.deliverAnswers(answers)
 	g.logStarts(s, orders)
+	g.logFound(s)
 	if len(orders)+len(answers) > 0 {
 		g.updateCounts()
 	}
@@ -279,8 +285,8 @@
 	g.counts.Store(&total)
 }
 
-// sendOrder sends one order and queues its reply for the pool that has the order's fence;
-// if that is gone, the reply is ignored.
+// sendOrder sends one order and queues its reply for the pool that has the order's fence.
+// If that is gone, only a missing reply to a start matters.
 func (g *Group) sendOrder(ctx context.Context, o pool.Order) {
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+pool.OrderTimeout)
 	defer cancel()
@@ -288,9 +294,12 @@
 	r.Order = o
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) {
 		i := slices.IndexFunc(g.groups, func(s *groupState) bool { return s.pool != nil && s.leadership.Claim().Fence == o.Fence })
-		if i >= 0 {
+		switch {
+		case i >= 0:
 			r.ReceivedAt = now
 			g.groups[i].pool.Receive(now, r)
+		case o.Kind == pool.StartOrder && r.Unanswered():
+			g.lateStarts.Add(now, r.LateStart())
 		}
 	})
 }
--- /dev/null
+++ b/tamarackpin/internal/group/late_starts_test.go
@@ -0,0 +1,39 @@
+package group
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/latestart"
+	"tamarackpin.example/internal/pool"
+)
+
+// TestLateStartsAreKnownToTheSuccessor guards against a dispatcher that starts a task
+// elsewhere while an order of its predecessor may still start it.
+func TestLateStartsAreKnownToTheSuccessor(t *testing.T) {
+	leading, other := twoVMs(t)
+	task := job.Task{Job: "late"}
+	now := time.Now()
+	leading.lateStarts.Add(now, latestart.Record{Task: task, Run: 1, Worker: "w1", Expires: now.Add(13 * time.Second)})
+	leading.applyDecisions(t.Context(), now)
+	other.waitForCommands(t, 1)
+	other.runNext(t)
+	if later := now.Add(12 * time.Second); other.lateStarts.Permits(later, task, "w2", 1) {
+		t.Errorf("the other VM may start the task elsewhere 12 s later")
+	}
+}
+
+// TestStartOfAReplacedDispatcherIsRecorded: a dispatcher steps down before the reply to its
+// start is due.
+func TestStartOfAReplacedDispatcherIsRecorded(t *testing.T) {
+	leading, _ := newLeadingGroup(t)
+	leading.config.Call = func(context.Context, pool.Order) pool.Reply { return pool.Reply{} }
+	o := pool.Order{Kind: pool.StartOrder, Task: job.Task{Job: "late"}, Run: 1, Worker: "w1", Fence: 7, Sent: time.Now()}
+	leading.sendOrder(t.Context(), o)
+	leading.runNext(t)
+	if leading.lateStarts.Permits(time.Now(), o.Task, "w2", 1) {
+		t.Error("the task may start elsewhere")
+	}
+}
--- a/tamarackpin/internal/group/log.go
+++ b/tamarackpin/internal/group/log.go
@@ -8,6 +8,7 @@
 	"tamarackpin.example/internal/crash"
 	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/latestart"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/tamarackpin/internal/peer"
@@ -73,6 +74,23 @@
 	}
 }
 
+// logLateStarts logs each start without a reply.
+func (g *Group) logLateStarts(records []latestart.Record) {
+	for _, r := range records {
+		event.Log(g.config.Log, event.StartUnanswered, zap.String("job", string(r.Task.Job)), zap.Int("step", r.Task.Step), zap.Int("index", r.Task.Index),
+			zap.Int("run", int(r.Run)), zap.String("worker", string(r.Worker)))
+	}
+}
+
+// logFound logs each run that a worker lists and that its dispatcher had not ordered there.
+func (g *Group) logFound(s *groupState) {
+	for _, f := range s.pool.TakeFound() {
+		event.Log(g.config.Log, event.RunFound, zap.String("job", string(f.Task.Job)), zap.Int("step", f.Task.Step), zap.Int("index", f.Task.Index),
+			zap.Int("run", int(f.Run)), zap.String("worker", string(f.Worker)), zap.Int64("incarnation", int64(f.Incarnation)),
+			zap.String("assigned_to", string(f.AssignedTo)), zap.Int64("fence", int64(s.leadership.Claim().Fence)))
+	}
+}
+
 // logUnanswered logs a forward without an answer. One that was never sent is not logged,
 // as the gate forwards again some milliseconds later.
 func (g *Group) logUnanswered(to Leader, number uint64, id job.ID, took time.Duration, result ForwardResult) {
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -14,11 +14,12 @@
 
 // Methods that entry VMs call on each other.
 const (
-	methodRun      peer.Method = "group.run"
-	methodWithdraw peer.Method = "group.withdraw"
-	methodExchange peer.Method = "group.exchange"
-	methodPing     peer.Method = "group.ping"
-	methodCrashes  peer.Method = "group.crashes"
+	methodRun        peer.Method = "group.run"
+	methodWithdraw   peer.Method = "group.withdraw"
+	methodExchange   peer.Method = "group.exchange"
+	methodPing       peer.Method = "group.ping"
+	methodCrashes    peer.Method = "group.crashes"
+	methodLateStarts peer.Method = "group.late_starts"
 )
 
 // Ticket identifies a forward by a gate; it is unique across restarts of the gate's
@@ -71,6 +72,7 @@
 	peer.Handle(x, methodExchange, g.serveExchange)
 	peer.Handle(x, methodPing, g.servePing)
 	peer.Handle(x, methodCrashes, g.serveCrashes)
+	peer.Handle(x, methodLateStarts, g.serveLateStarts)
 	peer.Handle(x, methodRun, func(ctx context.Context, from vm.ID, req forwardRequest) (forwardReply, error) {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
