A task with a start in doubt starts on no other worker while that start may arrive

What callers saw: a task that ran twice at once (TWICE). Cause: a start without a reply was forgotten once its stop was acknowledged, the job was over or the dispatcher changed. The order outlives all three, by up to 12 s, and an incarnation of the worker that began meanwhile knows neither the stop nor the fence, and its clock begins anew, so it carries the start out beside the run elsewhere. The class: what an incarnation has promised is taken for a promise of the worker. Evidence: each of the nine failing schedules has a start that was carried out by a later incarnation than it was ordered for; six of them had been ordered by an earlier dispatcher. Change: as long as a start without a reply may be carried out (13 s), its task starts only on that worker, and only on an incarnation that has acknowledged a stop of it; the log of such starts outlives job and dispatcher. A start without a reply is not stopped but ordered again, for the same run, once the worker replies: the worker carries it out once, whichever order arrives first. A new incarnation is queried at once, so that it refuses the orders of earlier dispatchers and lists what late ones have started. A run found beside the task's own is stopped. A job with late starts on two workers is given up at once. With the log emptied, TestForgottenLateStartsAreDetected fails. Changed expectations: a new incarnation gets no task before its first list, so two tests answer that query. TestStartThatMayNotHaveRunCondemnsNoTask expects the second start after 13 s, since the worker of the first is lost and may return. With silent hosts, one crash of four is proven: the job is abandoned, no longer called failed.

--- a/internal/latestart/log.go
+++ b/internal/latestart/log.go
@@ -134,6 +134,17 @@
 	}
 }
 
+// Settle drops a start that was ordered once and got its reply after all.
+func (l *Log) Settle(t job.Task, run job.Run, id worker.ID) {
+	i := slices.IndexFunc(l.tasks[t], func(e *entry) bool { return e.Run == run && e.Worker == id })
+	if i < 0 {
+		return
+	}
+	e := l.tasks[t][i]
+	l.workers[id] = slices.DeleteFunc(l.workers[id], func(o *entry) bool { return o == e })
+	l.remove(e)
+}
+
 // Forget drops the starts on a worker, of which another worker at its address is known to
 // refuse all.
 func (l *Log) Forget(id worker.ID) {
--- a/internal/latestart/log_test.go
+++ b/internal/latestart/log_test.go
@@ -66,6 +66,12 @@
 			l.Merge(start, []Record{lateOn("w1", 1, 14*time.Second)})
 			l.Add(start, lateOn("w1", 1, 13*time.Second))
 		}},
+		{"its reply arrived after all", func(l *Log) {
+			l.Add(start, lateOn("w1", 1, 13*time.Second))
+			l.Add(start, lateOn("w2", 2, 13*time.Second))
+			l.Settle(task, 2, "w2")
+			l.Bar(task, 1, "w1", 1, start.Add(time.Second))
+		}},
 		{"another worker is at its address", func(l *Log) {
 			l.Add(start, lateOn("w1", 1, 13*time.Second))
 			l.Forget("w1")
--- a/internal/pool/capacity_test.go
+++ b/internal/pool/capacity_test.go
@@ -132,6 +132,9 @@
 		t.Errorf("started %v on an incarnation whose capacity is not known", ids)
 	}
 	h.announce("w0", 2)
+	for _, o := range h.ordersOfKind(RenewOrder) {
+		h.reply(o, Reply{Done: true})
+	}
 	h.advance(20 * time.Millisecond)
 	if ids := h.startedJobs(); len(ids) != 1 {
 		t.Errorf("started %v once its capacity is known, want the job", ids)
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -118,7 +118,7 @@
 		switch {
 		case !t.assigned():
 			t.phase = finished
-		case t.phase == running || t.phase == starting:
+		case t.phase == running || t.phase == starting || t.phase == inDoubt:
 			p.stopTask(now, t)
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -22,11 +22,11 @@
 // worker only when the worker refused the start or no longer lists the run, when
 // the run's end was listed, when a stop was acknowledged and StopMax has passed,
 // when the incarnation of the worker has ended, or when all leases granted there
-// have lapsed. So no task has two concurrent runs. Known exception: a start gets no
-// reply, its stop is acknowledged and the task starts elsewhere; then the worker
-// restarts under its name, and the late start reaches the new incarnation before any
-// other order of the dispatcher. That incarnation knows neither the stop nor the
-// fence, and its new clock lets the start's deadline pass (issue 10, KNOWN-RED.txt).
+// have lapsed. A start that got no reply may be carried out seconds later, by an
+// incarnation of its worker that knows neither its stop nor the fence: as long as it may
+// (package latestart), the task starts only on that worker, and only on an incarnation that
+// has acknowledged a stop of the late start. So no task has two concurrent runs, as far as
+// the starts of earlier dispatchers are known.
 package pool
 
 import (
@@ -198,8 +198,9 @@
 
 // handleRestart handles a new incarnation of a worker. The new incarnation has none of
 // the previous one's runs, but may execute orders still in flight and does not know
-// of earlier stops. So acknowledged tasks are requeued, and unacknowledged starts
-// stay in doubt and get a new stop.
+// of earlier stops. So acknowledged tasks are requeued, and those whose start got no reply
+// yet are stopped anew. It is queried, so that it lists what late orders have started there
+// and refuses the orders of earlier dispatchers from then on.
 func (p *Pool) handleRestart(now time.Time, w *workerState, rec worker.Record) {
 	p.crashes.ObserveIncarnation(now, rec.Worker, rec.Incarnation)
 	p.recordOrphanLosses(now, w, crash.Restarted)
@@ -209,6 +210,7 @@
 			p.recordLoss(now, w, t, crash.Restarted)
 		}
 		if t.ackedAt.IsZero() {
+			p.lateStarts.Add(now, t.lateStart())
 			unackedTasks = append(unackedTasks, t)
 			continue
 		}
@@ -218,7 +220,6 @@
 			p.forgetIfDone(t.job)
 		}
 	}
-	unackedStarts := slices.DeleteFunc(w.unackedStarts, func(s unackedStart) bool { return now.Sub(s.inDoubtSince) > lateOrderLimit })
 	lateOrdersUntil := w.lateOrdersUntil
 	if w.renewPending {
 		lateOrdersUntil = later(lateOrdersUntil, w.renewSentAt.Add(lateOrderLimit))
@@ -227,25 +228,15 @@
 		lateOrdersUntil = later(lateOrdersUntil, t.orderedAt.Add(lateOrderLimit))
 	}
 	*w = workerState{
-		Record: rec, tasks: w.tasks, orphans: make(map[job.Task]job.Run), free: w.free.Add(rec.Capacity.Sub(w.Capacity)), unackedStarts: unackedStarts,
+		Record: rec, tasks: w.tasks, orphans: make(map[job.Task]job.Run), free: w.free.Add(rec.Capacity.Sub(w.Capacity)),
 		// The clock starts anew: a lease deadline on the predecessor's clock lies
 		// far ahead on that of the new incarnation.
 		lateOrdersUntil: lateOrdersUntil, leasesUntil: lateOrdersUntil,
 	}
-	// No list is needed first: only late orders can have started anything there.
-	// Those of this Pool are tracked in the tasks in doubt, unackedStarts and
-	// lateOrdersUntil; late starts of a previous dispatcher are not tracked, see also
-	// the known exception in the package doc (issue 10).
-	w.runsKnown = true
 	p.estimator.ForgetWorker(rec.Worker)
 	for _, t := range unackedTasks {
-		t.phase, t.stopAckedAt, t.lapsesAt, t.startInherited = inDoubt, time.Time{}, now.Add(lateOrderLimit), true
-		p.sendStop(now, t)
-	}
-	for _, s := range unackedStarts {
-		if w.tasks[s.task] == nil {
-			p.enqueueOrder(now, w, Order{Kind: StopOrder, Task: s.task, Run: s.run})
-		}
+		t.stopAckedAt, t.lapsesAt, t.startInherited = time.Time{}, now.Add(lateOrderLimit), true
+		p.stopTask(now, t)
 	}
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -316,6 +316,11 @@
 		t.Fatal("no renewal is pending")
 	}
 	h.announce("w0", 2)
+	for _, o := range h.ordersOfKind(RenewOrder) {
+		if o.Incarnation == 2 { // it lists its runs first
+			h.reply(o, Reply{Done: true})
+		}
+	}
 	second := request("second", 1, time.Second)
 	second.RemainingWait = time.Minute
 	h.pool.Submit(h.now, second)
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -94,10 +94,10 @@
 		run, isListed := listed[t.name]
 		switch {
 		case isListed && run == t.run:
-			if t.phase == starting {
+			if t.phase == starting || t.phase == inDoubt {
 				t.phase, t.ackedAt = running, now
 			}
-		case t.phase == running && r.Sent.After(t.ackedAt), t.phase != starting && t.phase != running && r.Sent.After(t.lapsesAt):
+		case t.phase == running && r.Sent.After(t.ackedAt), t.phase == stopping && r.Sent.After(t.lapsesAt):
 			// It is neither listed nor among the ends, and cannot start any more.
 			p.requeue(t)
 			p.forgetIfDone(t.job)
@@ -119,7 +119,7 @@
 		}
 	}
 	for name, run := range w.orphans {
-		if now.Sub(p.startedAt) > orphanGrace || p.newlyDivided(now) {
+		if now.Sub(p.startedAt) > orphanGrace || p.newlyDivided(now) || p.assignment(name) != nil {
 			p.enqueueOrder(now, w, Order{Kind: StopOrder, Task: name, Run: run})
 		}
 	}
@@ -128,14 +128,22 @@
 // recordFound records a run that w lists and that is not assigned to it.
 func (p *Pool) recordFound(w *workerState, row RunningTask) {
 	f := FoundRun{Task: row.Task, Run: row.Run, Worker: w.Worker, Incarnation: w.Incarnation}
-	if j := p.jobs[row.Task.Job]; j != nil {
-		if t := j.task(row.Task); t != nil && t.worker != nil {
-			f.AssignedTo = t.worker.Worker
-		}
+	if other := p.assignment(row.Task); other != nil {
+		f.AssignedTo = other.Worker
 	}
 	p.found = append(p.found, f)
 }
 
+// assignment returns the worker that has a task, or nil if none has.
+func (p *Pool) assignment(name job.Task) *workerState {
+	if j := p.jobs[name.Job]; j != nil {
+		if t := j.task(name); t != nil {
+			return t.worker
+		}
+	}
+	return nil
+}
+
 // handleEnd processes the end of a run on w; ends of superseded runs are ignored. The
 // task is done or waits again, and the job is answered if all its tasks are done or
 // this one has failed MaxAttempts times.
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -58,6 +58,7 @@
 	case RenewOrder:
 		p.handleRenewReply(now, w, r)
 	}
+	p.repeatStarts(now, w)
 	p.poll(now, w)
 	p.scheduleTasks(now)
 }
@@ -89,6 +90,7 @@
 	w.stale = true
 	p.crashes.ObserveIncarnation(now, w.Worker, w.Incarnation+1)
 	p.recordOrphanLosses(now, w, crash.Restarted)
+	p.lateStarts.Forget(w.Worker)
 	clear(w.orphans)
 	for _, t := range assignedTasks(w) {
 		p.recordLoss(now, w, t, crash.Restarted)
@@ -104,6 +106,9 @@
 	if t == nil || t.run != r.Run {
 		return
 	}
+	if !r.Unanswered() && !t.repeated() {
+		p.lateStarts.Settle(t.name, t.run, w.Worker) // handleRestart may have recorded it
+	}
 	switch {
 	case r.Done:
 		t.ackedAt = now
@@ -112,14 +117,33 @@
 		}
 		return
 	case r.Refusal == "":
-		if t.phase == starting {
-			p.markInDoubt(now, w, t)
+		if t.phase == starting && r.Sent.Equal(t.startSentAt) {
+			p.Counts.InDoubt++
+			t.phase = inDoubt
 		}
 		return
+	case r.Refusal == RefusedUnsent && t.repeated():
+		if t.phase == starting && r.Sent.Equal(t.startSentAt) {
+			t.phase = inDoubt
+		}
+		return
+	case r.Refusal == RefusedOld && t.repeated():
+		// An earlier order of this run was carried out: its end is listed, or will be.
+		t.ackedAt = now
+		if t.phase == starting || t.phase == inDoubt {
+			t.phase = running
+		}
+		return
+	case t.repeated():
+		// This order won't be carried out, but an earlier one of the run may be.
+		if t.phase == starting {
+			p.stopTask(now, t)
+		}
+	default:
+		// The worker did not start the task and won't: a refusal is final.
+		p.requeue(t)
+		p.forgetIfDone(t.job)
 	}
-	// The worker did not start the task and won't: a refusal is final.
-	p.requeue(t)
-	p.forgetIfDone(t.job)
 	switch r.Refusal {
 	case RefusedOld:
 		t.run++ // a run of this number ended there under another dispatcher
@@ -132,15 +156,6 @@
 	}
 }
 
-// markInDoubt handles a start without a reply, which may have been carried out or
-// may still be. The task stays assigned to w, and a stop is sent.
-func (p *Pool) markInDoubt(now time.Time, w *workerState, t *task) {
-	p.Counts.InDoubt++
-	t.phase = inDoubt
-	w.unackedStarts = append(w.unackedStarts, unackedStart{t.name, t.run, now})
-	p.sendStop(now, t)
-}
-
 // A worker gets no new tasks for noRoomBackoff after RefusedRoom, doubled for each further
 // one up to maxNoRoomBackoff, and until it has listed its runs (runsKnown). One that goes on
 // refusing has shrunk: it is tried again once a run ends there, or at its next announcement.
@@ -168,6 +183,9 @@
 // handleStopReply handles the reply to a stop. After an acknowledged stop the run
 // cannot start any more, and if it is running it ends within StopMax.
 func (p *Pool) handleStopReply(now time.Time, w *workerState, r Reply) {
+	if r.Done {
+		p.lateStarts.Bar(r.Task, r.Run, w.Worker, w.Incarnation, now.Add(p.config.StopMax+stopSlack))
+	}
 	// Stops sent before the recorded acknowledgement don't prolong the wait for
 	// StopMax; that of a stop sent later starts anew.
 	if t := w.tasks[r.Task]; t != nil && t.run == r.Run && r.Done && t.stopAckedAt.Before(r.Sent) {
@@ -190,9 +208,11 @@
 			p.recordOrphanLosses(now, w, w.lapseEvidence(p.startedAt))
 			clear(w.orphans)
 		}
+		p.stopLateStarts(now, w)
 		p.poll(now, w)
 	}
 	p.giveUpJobs(now)
+	p.giveUpBlockedJobs(now)
 	p.expireJobs(now)
 	if now.Sub(p.lastShedAt) >= shedInterval {
 		p.shedLoad(now)
@@ -231,11 +251,15 @@
 		p.forgetIfDone(t.job)
 		return
 	}
-	if t.phase != stopping && t.phase != inDoubt {
+	if t.phase != stopping {
 		return
 	}
 	switch {
 	case !t.stopAckedAt.IsZero() && now.Sub(t.stopAckedAt) > p.config.StopMax+stopSlack:
+		if t.ackedAt.IsZero() {
+			p.lateStarts.Add(now, t.lateStart()) // its reply may still be missing
+			p.lateStarts.Bar(t.name, t.run, w.Worker, w.Incarnation, now)
+		}
 		p.requeue(t)
 		p.forgetIfDone(t.job)
 	case t.stopAckedAt.IsZero() && now.Sub(t.stopSentAt) > stopRetryInterval:
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -168,8 +168,10 @@
 	var bestTime time.Duration
 	bestMeets := false
 	suspect := p.isSuspect(t)
+	bound, _ := p.lateStarts.Workers(now, t.name)
+	isBound := len(bound) > 0 // to the worker of its late start
 	for _, w := range candidates {
-		if w.reserved || !fits(w, t) || t.job.Unguarded && !w.capacityKnown(now) {
+		if w.reserved || !p.lateStarts.Permits(now, t.name, w.Worker, w.Incarnation) || !fits(w, t, isBound) || t.job.Unguarded && !w.capacityKnown(now) {
 			continue
 		}
 		factor := p.estimator.Factor(w.Kind, w.Worker)
@@ -183,7 +185,7 @@
 			best, bestTime, bestMeets = w, took, meets
 		}
 	}
-	if best != nil && !bestMeets && p.worthWaiting(now, t, work, bestTime) {
+	if best != nil && !bestMeets && !isBound && p.worthWaiting(now, t, work, bestTime) {
 		return nil
 	}
 	return best
@@ -259,12 +261,13 @@
 // fits reports whether t may start on w, an eligible worker: w is of its service, has
 // room, is of the kind or rack that the step's Label names, and has fewer than
 // PerWorker tasks of the step. A task that failed before goes neither to the
-// worker of its newest failure nor to one with failures since a run was last done.
-func fits(w *workerState, t *task) bool {
+// worker of its newest failure nor to one with failures since a run was last done, unless it
+// is bound to w by a late start.
+func fits(w *workerState, t *task, isBound bool) bool {
 	if w.Service != t.job.Service {
 		return false
 	}
-	if !w.free.Fits(t.step.Need) || t.failures > 0 && (w.Worker == t.lastFailedOn || w.failures > 0) {
+	if !w.free.Fits(t.step.Need) || !isBound && t.failures > 0 && (w.Worker == t.lastFailedOn || w.failures > 0) {
 		return false
 	}
 	if t.step.Label != "" && t.step.Label != string(w.Kind) && t.step.Label != string(w.Rack) {
@@ -287,15 +290,20 @@
 // startTask assigns t to w and orders a new run of it there.
 func (p *Pool) startTask(now time.Time, w *workerState, t *task) {
 	p.Counts.Started++
-	t.run++
+	t.run = max(t.run, p.lateStarts.HighestRun(t.name)) + 1
 	t.phase = starting
 	t.job.mayHaveStarted = true
 	t.percent, t.progressAt, t.startInherited = 0, now, false
 	t.orderedAt, t.ackedAt, t.stopSentAt, t.stopAckedAt = now, time.Time{}, time.Time{}, time.Time{}
 	t.assign(w)
 	w.reserved = p.isSuspect(t)
+	p.orderStart(now, w, t)
+	p.poll(now, w)
+}
+
+// orderStart orders the start of t's current run on w.
+func (p *Pool) orderStart(now time.Time, w *workerState, t *task) {
 	d := p.leaseDeadline(now, w)
-	t.lapsesAt = w.timing.ReachedBy(now, d)
+	t.startSentAt, t.lapsesAt = now, w.timing.ReachedBy(now, d)
 	p.enqueueOrder(now, w, Order{Kind: StartOrder, Task: t.name, Run: t.run, Spec: t.job.Job.Spec, Deadline: d})
-	p.poll(now, w)
 }
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -18,7 +18,7 @@
 	starting              // the start was ordered and has no reply yet
 	running               // the worker acknowledged the start or listed the run
 	stopping              // a stop was ordered; the task may still run
-	inDoubt               // the start got no reply, so it may or may not run; a stop was ordered
+	inDoubt               // the start got no reply, so it may or may not run; it is ordered again once the worker replies
 	finished              // done, or its job is closed; a failed run of an open job leads back to waiting
 )
 
@@ -41,6 +41,7 @@
 	// worker. It has no reply, and may still be carried out by this one.
 	startInherited bool
 	ackedAt        time.Time // when the worker acknowledged the start; zero before; see handleNewIncarnation
+	startSentAt    time.Time // when the start was last ordered: later than orderedAt if it was repeated
 	lapsesAt       time.Time // latest time at which a run of the current start may still execute, if it is never acknowledged
 	stopSentAt     time.Time // when the newest stop was ordered
 	stopAckedAt    time.Time // when the worker acknowledged a stop; zero before
@@ -138,13 +139,6 @@
 	return longest
 }
 
-// unackedStart is a start that got no reply, so it may still be carried out.
-type unackedStart struct {
-	task         job.Task
-	run          job.Run
-	inDoubtSince time.Time // when it was found to have no reply
-}
-
 // workerState is what the dispatcher knows of a worker, in its newest incarnation.
 type workerState struct {
 	worker.Record
@@ -156,23 +150,22 @@
 	tasks    map[job.Task]*task   // assigned, whatever their phase; their capacity is reserved
 	orphans  map[job.Task]job.Run // runs listed that are not assigned here, such as those of jobs not forwarded yet
 
-	unackedStarts   []unackedStart // recent starts without a reply; a new incarnation may still carry them out
-	lateOrdersUntil time.Time      // until then, late orders may extend leases on a new incarnation
-	roomRefusals    int            // number of starts refused for want of room since a run ended or it announced itself
-	roomRetryAt     time.Time      // it gets no new task before, after such a refusal
-	announced       bool           // this incarnation has announced itself
-	runsKnown       bool           // its list of runs is current enough to assign tasks; false before the first list and after RefusedRoom
-	endsSeen        uint64         // ends up to this number were handled
-	renewPending    bool           // a renewal was sent and has no reply yet
-	renewSentAt     time.Time      // when the newest renewal was sent
-	missedReplies   int            // number of orders in a row without a reply
-	backoffUntil    time.Time      // it gets no new task before
-	failures        int            // number of failures since a run was last done
-	stalls          int            // number of runs that stalled since one was last done
-	leasesUntil     time.Time      // all leases asked for have lapsed by then, however slow its clock is
-	lastReplyAt     time.Time      // when it last replied
-	noListenerAt    time.Time      // when its host last refused a connection
-	stale           bool           // this incarnation has ended: no renewal and no new task until the next one is announced
+	lateOrdersUntil time.Time // until then, late orders may extend leases on a new incarnation
+	roomRefusals    int       // number of starts refused for want of room since a run ended or it announced itself
+	roomRetryAt     time.Time // it gets no new task before, after such a refusal
+	announced       bool      // this incarnation has announced itself
+	runsKnown       bool      // its list of runs is current enough to assign tasks; false before the first list and after RefusedRoom
+	endsSeen        uint64    // ends up to this number were handled
+	renewPending    bool      // a renewal was sent and has no reply yet
+	renewSentAt     time.Time // when the newest renewal was sent
+	missedReplies   int       // number of orders in a row without a reply
+	backoffUntil    time.Time // it gets no new task before
+	failures        int       // number of failures since a run was last done
+	stalls          int       // number of runs that stalled since one was last done
+	leasesUntil     time.Time // all leases asked for have lapsed by then, however slow its clock is
+	lastReplyAt     time.Time // when it last replied
+	noListenerAt    time.Time // when its host last refused a connection
+	stale           bool      // this incarnation has ended: no renewal and no new task until the next one is announced
 }
 
 // eligible reports whether w may get new tasks: its runs are known, it
