An order that is older than its time is not sent after a pause

What it could cause: a process that was paused between a decision and its order sends the order when it resumes. By then it may have been replaced, and a worker that restarted meanwhile knows no fence that would refuse it: the task runs there and where the successor started it. Cause: the time for an order counted from the moment of sending, not from the decision. Change: it counts from the decision; an order whose time is over is reported as not sent, which is true. Test: TestOrderFromBeforeAPauseIsNotSent failed before (the order was sent 1 s after its decision).

--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -288,9 +288,13 @@
 // sendOrder sends one order and queues its reply for the pool that has the order's fence.
 // If that is gone, only a missing reply to a start matters.
 func (g *Group) sendOrder(ctx context.Context, o pool.Order) {
-	callCtx, cancel := context.WithTimeout(ctx, o.Wait+pool.OrderTimeout)
+	// The time counts from the decision: a process that was paused since may have been replaced.
+	callCtx, cancel := context.WithDeadline(ctx, o.Sent.Add(o.Wait+pool.OrderTimeout))
 	defer cancel()
-	r := g.call(callCtx, o)
+	r := pool.Reply{Refusal: pool.RefusedUnsent}
+	if callCtx.Err() == nil {
+		r = g.call(callCtx, o)
+	}
 	r.Order = o
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) {
 		i := slices.IndexFunc(g.groups, func(s *groupState) bool { return s.pool != nil && s.leadership.Claim().Fence == o.Fence })
--- a/tamarackpin/internal/group/late_starts_test.go
+++ b/tamarackpin/internal/group/late_starts_test.go
@@ -25,6 +25,21 @@
 	}
 }
 
+// TestOrderFromBeforeAPauseIsNotSent: a process is paused between a decision and its order, and
+// meanwhile replaced. A worker that restarted knows no fence that would refuse the order.
+func TestOrderFromBeforeAPauseIsNotSent(t *testing.T) {
+	leading, starts := newLeadingGroup(t)
+	o := pool.Order{Kind: pool.StartOrder, Task: job.Task{Job: "paused"}, Run: 1, Worker: "w1", Fence: 7, Sent: time.Now().Add(-time.Second)}
+	leading.sendOrder(t.Context(), o)
+	leading.runNext(t)
+	if len(starts) > 0 {
+		t.Errorf("an order was sent 1 s after its decision, want at most %s", pool.OrderTimeout)
+	}
+	if !leading.lateStarts.Empty() {
+		t.Error("an order that was not sent counts as a late start")
+	}
+}
+
 // TestStartOfAReplacedDispatcherIsRecorded: a dispatcher steps down before the reply to its
 // start is due.
 func TestStartOfAReplacedDispatcherIsRecorded(t *testing.T) {
