A task that is given up is given up in the other failure domains too

Callers of a job that was given up because workers crashed under a task may submit it again to an entry VM of another failure domain, or the job is offloaded to there.

Crash records were sent to the entry VMs of the same failure domain only. Once a task is given up, all records of it are now sent to those of the other failure domains as well. Records of tasks that are not given up stay in their failure domain, so that the volume is bounded by the tasks that are given up.

--- a/internal/crash/log.go
+++ b/internal/crash/log.go
@@ -181,6 +181,22 @@
 	return list
 }
 
+// GivenUp returns all Records of the tasks among those of records that are given up.
+func (l *Log) GivenUp(records []Record) []Record {
+	var list []Record
+	seen := make(map[job.Task]bool)
+	for _, r := range records {
+		if seen[r.Task] || !l.Verdict(r.Task).GivenUp() {
+			continue
+		}
+		seen[r.Task] = true
+		for _, lost := range l.tasks[r.Task].losses {
+			list = append(list, lost.Record)
+		}
+	}
+	return list
+}
+
 // Expire drops the tasks whose newest loss is older than retention.
 func (l *Log) Expire(now time.Time) {
 	for t, h := range l.tasks {
--- a/internal/crash/verdict.go
+++ b/internal/crash/verdict.go
@@ -12,6 +12,9 @@
 	Deadly                   // maxCrashes workers crashed under it
 )
 
+// GivenUp reports whether the task is not started any more.
+func (v Verdict) GivenUp() bool { return v >= Exhausted }
+
 // maxCrashes is the number of workers that may crash under a task before it is given up:
 // the first may have crashed because of a task beside it.
 const maxCrashes = 2
--- a/internal/pool/crashes.go
+++ b/internal/pool/crashes.go
@@ -58,7 +58,7 @@
 }
 
 // isGivenUp reports whether a task of j is not started any more.
-func (p *Pool) isGivenUp(j *jobState) bool { return p.worstVerdict(j) >= crash.Exhausted }
+func (p *Pool) isGivenUp(j *jobState) bool { return p.worstVerdict(j).GivenUp() }
 
 // worstVerdict returns the highest verdict on a task of j.
 func (p *Pool) worstVerdict(j *jobState) crash.Verdict {
--- a/tamarackpin/internal/group/crashes.go
+++ b/tamarackpin/internal/group/crashes.go
@@ -15,14 +15,16 @@
 // shareTimeout bounds the sending of crash records to one VM.
 const shareTimeout = time.Second
 
-// sharedCrashes is the message that carries crash records to another entry VM of the
-// failure domain, which may be the next dispatcher of their tasks.
+// sharedCrashes is the message that carries crash records to another entry VM, which may be
+// the next dispatcher of their tasks.
 type sharedCrashes struct {
 	Records []crash.Record `json:"records"`
 }
 
 // shareCrashes logs the losses that are new here and sends them to the other entry VMs of
-// the failure domain. VMs that have started since get all that are known.
+// the failure domain. VMs that have started since get all that are known. Entry VMs of other
+// failure domains get those of the tasks that are given up: a caller may submit the job again
+// there, and it may be offloaded to there.
 func (g *Group) shareCrashes(ctx context.Context) {
 	if !g.leads() {
 		return // a leader sends them
@@ -41,6 +43,18 @@
 		}
 	}
 	clear(g.startedVMs)
+	if givenUp := g.crashes.GivenUp(changes); len(givenUp) > 0 {
+		for _, p := range g.distantEntries() {
+			g.sendCrashes(ctx, p.VM, givenUp)
+		}
+	}
+}
+
+// distantEntries returns the entry VMs of the other failure domains.
+func (g *Group) distantEntries() []vm.Present {
+	return g.config.Knowledge.VMs(func(p vm.Present) bool {
+		return p.Callers && p.FailureDomain != g.self.FailureDomain
+	})
 }
 
 // sendCrashes sends crash records to a VM, unless there are none. A message that is lost
