Late starts of a job that ends uncompleted are known in the other failure domains

What it could cause: the caller of an abandoned job submits it again in another failure domain, whose dispatcher knows nothing of the starts without a reply in the first one, and the task runs twice at once. Change: when a job is abandoned or withdrawn, its starts without a reply are sent to the entry VMs of the other failure domains, at most once a second to each. A job there whose task is bound to a worker of another group is answered as abandoned at once. Test: TestLateStartsOfAnAbandonedJobAreKnownElsewhere failed before (no message).

--- a/internal/latestart/log.go
+++ b/internal/latestart/log.go
@@ -19,6 +19,7 @@
 	tasks   map[job.Task][]*entry
 	workers map[worker.ID][]*entry // the same entries
 	changes []Record               // not yet taken by TakeChanges
+	reports []Record               // not yet taken by TakeReports
 }
 
 // entry is a start without a reply.
@@ -29,6 +30,7 @@
 	// not start the run any more; if it had started the run, that ends by barredAt.
 	barredIn worker.Incarnation
 	barredAt time.Time
+	reported bool // in reports once
 }
 
 // Add records a start without a reply. A repeated start of the same run moves the expiry.
@@ -186,6 +188,24 @@
 	return changes
 }
 
+// Report adds the late starts of a task to those that TakeReports returns, if its job may
+// be submitted again in another failure domain.
+func (l *Log) Report(now time.Time, t job.Task) {
+	for _, e := range l.tasks[t] {
+		if !e.reported && now.Before(e.Expires) {
+			e.reported = true
+			l.reports = append(l.reports, e.Record)
+		}
+	}
+}
+
+// TakeReports returns the Records that were reported since its last call.
+func (l *Log) TakeReports() []Record {
+	reports := l.reports
+	l.reports = nil
+	return reports
+}
+
 // Records returns all Records that have not expired, sorted.
 func (l *Log) Records(now time.Time) []Record {
 	var list []Record
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -107,6 +107,7 @@
 // waits for it any more.
 func (p *Pool) Withdraw(now time.Time, a Admission) {
 	if j := p.jobs[a.Job]; j != nil && j.admission == a && !j.closed {
+		p.reportLateStarts(now, j)
 		p.closeJob(now, j)
 	}
 }
@@ -142,5 +143,8 @@
 func (p *Pool) answer(now time.Time, j *jobState, a Answer) {
 	a.Admission = j.admission
 	p.answers = append(p.answers, a)
+	if a.Outcome == job.Abandoned {
+		p.reportLateStarts(now, j)
+	}
 	p.closeJob(now, j)
 }
--- a/internal/pool/late_starts.go
+++ b/internal/pool/late_starts.go
@@ -5,6 +5,7 @@
 
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/latestart"
+	"tamarackpin.example/internal/worker"
 )
 
 // lateStart returns the record of the newest order to start t, which got no reply yet.
@@ -12,6 +13,25 @@
 	return latestart.Record{Task: t.name, Run: t.run, Worker: t.worker.Worker, Expires: t.startSentAt.Add(lateOrderLimit)}
 }
 
+// addLateStart records a start without a reply. If its job is over, its caller may submit it
+// again in another failure domain.
+func (p *Pool) addLateStart(now time.Time, r latestart.Record) {
+	p.lateStarts.Add(now, r)
+	if j := p.jobs[r.Task.Job]; j == nil || j.closed {
+		p.lateStarts.Report(now, r.Task)
+	}
+}
+
+// reportLateStarts reports the late starts of a job that ends without being completed.
+func (p *Pool) reportLateStarts(now time.Time, j *jobState) {
+	if p.lateStarts.Empty() {
+		return
+	}
+	for _, t := range j.tasks {
+		p.lateStarts.Report(now, t.name)
+	}
+}
+
 // repeated reports whether the start of the current run was ordered more than once.
 func (t *task) repeated() bool { return t.startSentAt.After(t.orderedAt) }
 
@@ -53,7 +73,8 @@
 }
 
 // giveUpBlockedJobs answers the pending jobs with a task that no worker may start before the
-// caller's deadline, since each of two workers may carry out a late start of it.
+// caller's deadline, since each of two workers may carry out a late start of it, or one that is
+// not in the group.
 func (p *Pool) giveUpBlockedJobs(now time.Time) {
 	if p.lateStarts.Empty() {
 		return
@@ -64,8 +85,13 @@
 			continue
 		}
 		bound, until := p.lateStarts.Workers(now, name)
-		if t := j.task(name); t != nil && t.phase == waiting && len(bound) > 1 && until.After(j.callerDeadline) {
-			p.answer(now, j, Answer{Outcome: job.Abandoned, Reason: "starts of one of its tasks on two workers got no reply and may still be carried out"})
+		if t := j.task(name); t != nil && t.phase == waiting && p.isBlocked(bound) && until.After(j.callerDeadline) {
+			p.answer(now, j, Answer{Outcome: job.Abandoned, Reason: "an earlier start of one of its tasks got no reply and may still be carried out elsewhere"})
 		}
 	}
 }
+
+// isBlocked reports whether a task that is bound to these workers can start on none of them.
+func (p *Pool) isBlocked(bound []worker.ID) bool {
+	return len(bound) > 1 || len(bound) == 1 && p.workers[bound[0]] == nil && !p.config.WorkersIncomplete
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -210,7 +210,7 @@
 			p.recordLoss(now, w, t, crash.Restarted)
 		}
 		if t.ackedAt.IsZero() {
-			p.lateStarts.Add(now, t.lateStart())
+			p.addLateStart(now, t.lateStart())
 			unackedTasks = append(unackedTasks, t)
 			continue
 		}
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -11,7 +11,7 @@
 // Replies about an earlier incarnation are ignored.
 func (p *Pool) Receive(now time.Time, r Reply) {
 	if r.Kind == StartOrder && r.Unanswered() {
-		p.lateStarts.Add(now, r.LateStart())
+		p.addLateStart(now, r.LateStart())
 	}
 	w := p.workers[r.Worker]
 	if w == nil {
@@ -257,7 +257,7 @@
 	switch {
 	case !t.stopAckedAt.IsZero() && now.Sub(t.stopAckedAt) > p.config.StopMax+stopSlack:
 		if t.ackedAt.IsZero() {
-			p.lateStarts.Add(now, t.lateStart()) // its reply may still be missing
+			p.addLateStart(now, t.lateStart()) // its reply may still be missing
 			p.lateStarts.Bar(t.name, t.run, w.Worker, w.Incarnation, now)
 		}
 		p.requeue(t)
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -104,10 +104,11 @@
 	earlyWithdrawals withdrawals
 	crashes          crash.Log     // of the tasks of all groups
 	lateStarts       latestart.Log // of the tasks of all groups
-	lateStartsSentAt time.Time
-	incarnations     map[vm.ID]vm.Incarnation // of the VMs whose heartbeats arrived
-	startedVMs       map[vm.ID]bool           // VMs that may lack crash records
-	calls            sync.WaitGroup
+	// When the late starts were last sent to the own and to the other failure domains.
+	lateStartsSentAt, lateStartsReportedAt time.Time
+	incarnations                           map[vm.ID]vm.Incarnation // of the VMs whose heartbeats arrived
+	startedVMs                             map[vm.ID]bool           // VMs that may lack crash records
+	calls                                  sync.WaitGroup
 }
 
 // New returns a Group that has not started, and registers its methods with x.
--- a/tamarackpin/internal/group/late_starts.go
+++ b/tamarackpin/internal/group/late_starts.go
@@ -16,6 +16,10 @@
 // same VM. While many orders get none, each of these messages carries several.
 const lateStartInterval = 100 * time.Millisecond
 
+// lateStartReportInterval is the least time between two messages with starts without a reply to
+// the same VM of another failure domain. Callers submit an abandoned job again after 1.3 s.
+const lateStartReportInterval = time.Second
+
 // sharedLateStarts is the message that carries starts without a reply to another entry VM of
 // the failure domain, which may be the next dispatcher of their tasks.
 type sharedLateStarts struct {
@@ -24,24 +28,30 @@
 
 // shareLateStarts logs the starts without a reply that are new here and sends them to the
 // other entry VMs of the failure domain, also if this VM has just ceased to lead. VMs that
-// have started since get all that are known from a leader.
+// have started since get all that are known from a leader. Those of jobs that may be submitted
+// again go to the other failure domains too.
 func (g *Group) shareLateStarts(ctx context.Context, now time.Time) {
 	if g.leads() {
 		for id := range g.startedVMs {
 			g.sendLateStarts(ctx, now, id, g.lateStarts.Records(now))
 		}
 	}
-	if now.Sub(g.lateStartsSentAt) < lateStartInterval {
-		return
-	}
-	changes := g.lateStarts.TakeChanges()
-	if len(changes) == 0 {
-		return
+	if now.Sub(g.lateStartsSentAt) >= lateStartInterval {
+		if changes := g.lateStarts.TakeChanges(); len(changes) > 0 {
+			g.lateStartsSentAt = now
+			g.logLateStarts(changes)
+			for _, p := range g.peers() {
+				g.sendLateStarts(ctx, now, p.VM, changes)
+			}
+		}
 	}
-	g.lateStartsSentAt = now
-	g.logLateStarts(changes)
-	for _, p := range g.peers() {
-		g.sendLateStarts(ctx, now, p.VM, changes)
+	if now.Sub(g.lateStartsReportedAt) >= lateStartReportInterval {
+		if reports := g.lateStarts.TakeReports(); len(reports) > 0 {
+			g.lateStartsReportedAt = now
+			for _, p := range g.distantEntries() {
+				g.sendLateStarts(ctx, now, p.VM, reports)
+			}
+		}
 	}
 }
 
--- a/tamarackpin/internal/group/late_starts_test.go
+++ b/tamarackpin/internal/group/late_starts_test.go
@@ -13,7 +13,7 @@
 // TestLateStartsAreKnownToTheSuccessor guards against a dispatcher that starts a task
 // elsewhere while an order of its predecessor may still start it.
 func TestLateStartsAreKnownToTheSuccessor(t *testing.T) {
-	leading, other := twoVMs(t)
+	leading, other := twoVMs(t, "a")
 	task := job.Task{Job: "late"}
 	now := time.Now()
 	leading.lateStarts.Add(now, latestart.Record{Task: task, Run: 1, Worker: "w1", Expires: now.Add(13 * time.Second)})
@@ -25,6 +25,30 @@
 	}
 }
 
+// TestLateStartsOfAnAbandonedJobAreKnownElsewhere: the caller of an abandoned job submits it
+// again in another failure domain, while an order may still start it in the first one.
+func TestLateStartsOfAnAbandonedJobAreKnownElsewhere(t *testing.T) {
+	leading, other := twoVMs(t, "b")
+	leading.addWorker(t, "w1")
+	leading.config.Call = func(context.Context, pool.Order) pool.Reply { return pool.Reply{} }
+	request := pool.Request{Job: job.Job{ID: "late", Steps: []job.Step{{Count: 1}}}, Service: "s", Stretch: 3, Latency: time.Minute, RemainingWait: time.Minute}
+	p, task := leading.groups[0].pool, job.Task{Job: "late"}
+	admission := p.Submit(time.Now(), request)
+	orders, _ := p.TakePending()
+	for _, o := range orders {
+		if o.Kind == pool.StartOrder {
+			p.Receive(time.Now(), pool.Reply{Order: o})
+		}
+	}
+	p.Withdraw(time.Now(), admission)
+	leading.applyDecisions(t.Context(), time.Now())
+	other.waitForCommands(t, 1)
+	other.runNext(t)
+	if other.lateStarts.Permits(time.Now(), task, "w2", 1) {
+		t.Error("the task may start on a worker of the other failure domain")
+	}
+}
+
 // TestOrderFromBeforeAPauseIsNotSent: a process is paused between a decision and its order, and
 // meanwhile replaced. A worker that restarted knows no fence that would refuse the order.
 func TestOrderFromBeforeAPauseIsNotSent(t *testing.T) {
