A job given up for crashes is abandoned, not failed

The job was given up because two workers had crashed with one of its tasks assigned.

Nothing proves that a task was running when its worker crashed: the run may have ended before, in a list that died with the worker. So a job is answered failed only after MaxAttempts listed failed ends of one task. The reason no longer says that the task was running. The limits on crashes and starts are unchanged.

--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -6,7 +6,7 @@
 // The outcomes.
 const (
 	Completed Outcome = "completed" // all tasks ended well
-	Failed    Outcome = "failed"    // a task failed as often as it may
+	Failed    Outcome = "failed"    // workers listed as many failed runs of a task as it may have
 	NotRun    Outcome = "not_run"   // refused; no task was started for this request, and none will be
-	Abandoned Outcome = "abandoned" // given up after tasks were started
+	Abandoned Outcome = "abandoned" // given up after tasks may have been started; it may be submitted again
 )
--- a/internal/pool/crashes.go
+++ b/internal/pool/crashes.go
@@ -47,16 +47,22 @@
 	}
 }
 
-// giveUp answers a job that isGivenUp: as failed if a task of it is known to crash its
-// workers.
+// giveUp answers a job that isGivenUp. It is not called failed: a run may have ended just
+// before its worker crashed, and only an end that was listed tells.
 func (p *Pool) giveUp(now time.Time, j *jobState) {
-	a := Answer{Outcome: job.Abandoned, Reason: "the workers of one of its tasks were lost again and again"}
+	reason := reasonLosses
 	if p.worstVerdict(j) == crash.Deadly {
-		a = Answer{Outcome: job.Failed, Reason: "workers crashed while they ran one of its tasks"}
+		reason = reasonCrashes
 	}
-	p.answer(now, j, a)
+	p.answer(now, j, Answer{Outcome: job.Abandoned, Reason: reason})
 }
 
+// The reasons in the answers to jobs that are given up.
+const (
+	reasonLosses  = "the workers of one of its tasks were lost again and again"
+	reasonCrashes = "workers crashed while one of its tasks was assigned to them"
+)
+
 // isGivenUp reports whether a task of j is not started any more.
 func (p *Pool) isGivenUp(j *jobState) bool { return p.worstVerdict(j).GivenUp() }
 
