A job on which two dispatchers panic is abandoned, not failed

A caller was told failed for a job on which two dispatchers had panicked, although no task of it is known to have failed, and it may have run. The gate now answers abandoned (504).

As the caller submits such a job again, and each time would cost two more leaderships, the gate keeps the job for a minute, 1,000 of them at most, and answers it at once without forwarding it. A resubmission through another entry VM still costs two.

TestJobThatDispatchersFailOnIsGivenUp expected failed, which the gate cannot know. It now expects abandoned with the gate's reason, within the same time, and the same answer in under a quarter of the time when the job is submitted again.

--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,11 @@
 	// maxDispatcherFailures is the number of dispatchers that may panic while they admit a
 	// job before it is given up: each of them steps down.
 	maxDispatcherFailures = 2
+	// givenUpRetention is how long a job that dispatchers failed on is not forwarded again:
+	// callers submit a job again within seconds.
+	givenUpRetention = time.Minute
+	// maxGivenUp bounds the number of such jobs.
+	maxGivenUp = 1000
 )
 
 // Gate forwards jobs and counts those that are pending, which means not answered yet. Its
@@ -45,8 +51,9 @@
 	pending  atomic.Int64
 	lastCall atomic.Uint64
 
-	mu           sync.Mutex // guards pendingByRow
+	mu           sync.Mutex // guards the fields below
 	pendingByRow map[routes.RowName]int
+	givenUpAt    map[job.ID]time.Time // jobs that dispatchers failed on
 }
 
 // PendingTotal returns the number of unanswered jobs of all rows on this VM.
@@ -95,6 +102,10 @@
 	deadline := startedAt.Add(r.RemainingWait)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	dispatchersFailed := pool.Answer{Outcome: job.Abandoned, Reason: "dispatchers failed while they admitted it"}
+	if g.isGivenUp(startedAt, r.Job.ID) {
+		return dispatchersFailed
+	}
 	age := r.Age
 	noLeaderSince := time.Time{}
 	offloadTried := false
@@ -131,7 +142,8 @@
 			failures++
 		}
 		if failures >= maxDispatcherFailures {
-			return pool.Answer{Outcome: job.Failed, Reason: "dispatchers failed while they admitted it"}
+			g.recordGivenUp(now, r.Job.ID)
+			return dispatchersFailed
 		}
 		if ctx.Err() != nil || !wait(ctx, nil, retryInterval) {
 			return gateAnswer(r, "the caller left or its time is over")
@@ -139,6 +151,30 @@
 	}
 }
 
+// isGivenUp reports whether dispatchers failed on a job within givenUpRetention.
+func (g *Gate) isGivenUp(now time.Time, id job.ID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, found := g.givenUpAt[id]
+	return found && now.Sub(at) < givenUpRetention
+}
+
+// recordGivenUp notes that dispatchers failed on a job. If there are maxGivenUp already, only
+// those within givenUpRetention are kept, and the new one if that makes room.
+func (g *Gate) recordGivenUp(now time.Time, id job.ID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.givenUpAt == nil {
+		g.givenUpAt = make(map[job.ID]time.Time)
+	}
+	if len(g.givenUpAt) >= maxGivenUp {
+		maps.DeleteFunc(g.givenUpAt, func(_ job.ID, at time.Time) bool { return now.Sub(at) >= givenUpRetention })
+	}
+	if len(g.givenUpAt) < maxGivenUp {
+		g.givenUpAt[id] = now
+	}
+}
+
 // offload forwards a job, refused by its own group with TryElsewhere, to the group in
 // spare. ok is false if the spare group did not run the job and will not. If its fate is
 // unknown, offload returns a final answer, as running it in its own group could run it
