A forecast takes memory for the tasks of a job, not for any capacity

What operators would see: dispatchers that run out of memory and end, one after the other as each takes over, while one worker's announcement has a capacity far too large. Cause: to shed load, a pool makes one slot of 32 bytes for each task of the mean need that fits on a worker, whatever the number of tasks that wait. The capacity is what an announcement says. Change: a worker has at most job.MaxTasks (2000) free slots in the forecast. Test: TestLargeCapacityExhaustsMemory, a job of two small tasks on a worker that announces 1,048 cores.

--- a/internal/pool/capacity_test.go
+++ b/internal/pool/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -185,3 +186,23 @@
 		t.Errorf("capacity shrank %d times in %d schedules, too few for the test to be conclusive", shrinks, scheduleSeeds)
 	}
 }
+
+// TestLargeCapacityExhaustsMemory guards against a forecast with a slot for each need that
+// fits on a worker, whatever the number of tasks that wait: a capacity far too large, as
+// in an announcement that is not the worker's own, ended the process for want of memory.
+func TestLargeCapacityExhaustsMemory(t *testing.T) {
+	const limit = 1 << 20 // bytes
+	h := newHarness(t, 1)
+	h.announceCapacity("w0", 2, 1<<20)
+	r := request("j", 1, time.Second)
+	r.Job.Steps[0].Need.MilliCores = 1
+	r.Job.Steps = append(r.Job.Steps, job.Step{Count: 1, Need: worker.Resources{MilliCores: 1}, After: []int{0}})
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	h.pool.Submit(h.now, r)
+	h.advance(shedInterval)
+	runtime.ReadMemStats(&after)
+	if allocated := after.TotalAlloc - before.TotalAlloc; allocated > limit {
+		t.Errorf("a job of two tasks allocated %d bytes on a worker of %d cores, want at most %d", allocated, 1<<20/1000, limit)
+	}
+}
--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -65,7 +65,8 @@
 
 // forecast returns the slots of all eligible workers, whatever their service, for
 // tasks that need so many thousandths of a core each. The tasks that a worker has
-// now take one slot each, whatever their need.
+// now take one slot each, whatever their need. A worker has at most [job.MaxTasks] free
+// slots, enough for any job: its capacity is what an announcement says.
 func (p *Pool) forecast(now time.Time, need int) forecast {
 	var f forecast
 	for _, w := range p.byID {
@@ -81,7 +82,7 @@
 			took := time.Duration(float64(p.estimator.Work(t.job.Row, t.step)) * factor)
 			f = append(f, slot{later(now, t.orderedAt.Add(took)), factor})
 		}
-		for range max(0, slots) {
+		for range min(max(0, slots), job.MaxTasks) {
 			f = append(f, slot{now, factor})
 		}
 	}
