A number too large in a heartbeat no longer hides the worker

What operators would see: after one heartbeat of another writer under the ID of a worker, that worker gets no more tasks though it goes on announcing itself. Cause: Seq 2^64-1, or a start time in the far future, was recorded, and the worker's own heartbeats counted as older ones. ClockMs overflowed in nanoseconds, and a capacity of 9e18 overflows in the sums of a fleet.

--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -74,8 +74,26 @@
 	Clock         Clock            `json:"clock"`
 }
 
-// Check returns an error if a lacks the worker's id, service or address, or has a
-// negative capacity.
+// Limits of what a worker says of itself. Any program may announce itself, also under the
+// id of a worker: larger numbers are not the worker's, and would make its own
+// announcements count as older ones or overflow in sums.
+const (
+	// MaxIncarnation is the last Unix millisecond of 13 digits, in the year 2286. A time in
+	// microseconds or nanoseconds exceeds it.
+	MaxIncarnation Incarnation = 9_999_999_999_999
+	// MaxCount bounds what an incarnation counts from 1: its announcements, the runs of a
+	// task and the ends of runs. A thousand a second make less in a month.
+	MaxCount = 1 << 32
+	// MaxClock leaves room for a clock that counts from 1970.
+	MaxClock = Clock(100 * 365 * 24 * time.Hour)
+)
+
+// maxCapacity is more than the largest machine has: 4,194 cores, 64 TiB and 1,024
+// accelerators.
+var maxCapacity = Resources{MilliCores: 1 << 22, MemoryMB: 1 << 26, Accelerators: 1 << 10}
+
+// Check returns an error if a lacks the worker's id, service or address, or if a number is
+// out of range.
 func (a Announcement) Check() error {
 	switch {
 	case a.Worker == "":
@@ -86,6 +104,14 @@
 		return errors.Newf("worker %s: no address", a.Worker)
 	case a.Capacity.MilliCores < 0 || a.Capacity.MemoryMB < 0 || a.Capacity.Accelerators < 0:
 		return errors.Newf("worker %s: negative room", a.Worker)
+	case !maxCapacity.Fits(a.Capacity):
+		return errors.Newf("worker %s: room %+v: want at most %+v", a.Worker, a.Capacity, maxCapacity)
+	case a.Incarnation < 1 || a.Incarnation > MaxIncarnation:
+		return errors.Newf("worker %s: incarnation %d: want 1 to %d", a.Worker, a.Incarnation, MaxIncarnation)
+	case a.Sequence > MaxCount:
+		return errors.Newf("worker %s: sequence %d: want at most %d", a.Worker, a.Sequence, MaxCount)
+	case a.Clock < 0 || a.Clock > MaxClock:
+		return errors.Newf("worker %s: clock %s: want 0 to %s", a.Worker, time.Duration(a.Clock), time.Duration(MaxClock))
 	}
 	return nil
 }
