--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -5,6 +5,10 @@
 package worker
 
 import (
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -92,16 +96,14 @@
 // accelerators.
 var maxCapacity = Resources{MilliCores: 1 << 22, MemoryMB: 1 << 26, Accelerators: 1 << 10}
 
-// Check returns an error if a lacks the worker's id, service or address, or if a number is
-// out of range.
+// Check returns an error if a lacks the worker's id or service, if its address is not a
+// host with a port, or if a number is out of range.
 func (a Announcement) Check() error {
 	switch {
 	case a.Worker == "":
 		return errors.New("announcement without a worker")
 	case a.Service == "":
 		return errors.Newf("worker %s: no service", a.Worker)
-	case a.Address == "":
-		return errors.Newf("worker %s: no address", a.Worker)
 	case a.Capacity.MilliCores < 0 || a.Capacity.MemoryMB < 0 || a.Capacity.Accelerators < 0:
 		return errors.Newf("worker %s: negative room", a.Worker)
 	case !maxCapacity.Fits(a.Capacity):
@@ -113,7 +115,29 @@
 	case a.Clock < 0 || a.Clock > MaxClock:
 		return errors.Newf("worker %s: clock %s: want 0 to %s", a.Worker, time.Duration(a.Clock), time.Duration(MaxClock))
 	}
-	return nil
+	return errors.Wrapf(checkAddress(a.Address), "worker %s: address %.80q", a.Worker, a.Address)
+}
+
+// checkAddress returns an error unless address is an IP address or a host name, with a port.
+// Orders go to a URL that is made of it.
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.JoinHostPort(host, port) != address {
+		return errors.New("want a host and a port")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return errors.New("want a port from 1 to 65535")
+	}
+	ip, err := netip.ParseAddr(host)
+	if err == nil && ip.Zone() == "" || host != "" && !strings.ContainsFunc(host, notInHostName) {
+		return nil
+	}
+	return errors.New("want an IP address or a host name")
+}
+
+// notInHostName reports whether r cannot be part of a host name.
+func notInHostName(r rune) bool {
+	return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && !strings.ContainsRune("-._", r)
 }
 
 // newerThan reports whether a was made after o by the same worker.
