An overlong text in a heartbeat is not spread to all VMs

What operators would see: a heartbeat with a text of up to 4 MiB, as the worker's rack for example, is in each answer of the control VMs to the entry VMs of the failure domain, with each further heartbeat; an answer that takes over a second is lost. Cause: texts had no limit. An ID with control characters was accepted, too, though no order to it can be made, and one that is not UTF-8 changes on its way between VMs. Change: the check of an announcement asks for at most 260 bytes in each text, and no control characters. Such a heartbeat is refused (400). The load on connections between VMs was not measured.

--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -90,6 +92,9 @@
 	MaxCount = 1 << 32
 	// MaxClock leaves room for a clock that counts from 1970.
 	MaxClock = Clock(100 * 365 * 24 * time.Hour)
+	// maxTextBytes bounds each text, as all VMs of the failure domain get all of them with
+	// each announcement. A host name has 253 bytes at most.
+	maxTextBytes = 260
 )
 
 // maxCapacity is more than the largest machine has: 4,194 cores, 64 TiB and 1,024
@@ -97,8 +102,13 @@
 var maxCapacity = Resources{MilliCores: 1 << 22, MemoryMB: 1 << 26, Accelerators: 1 << 10}
 
 // Check returns an error if a lacks the worker's id or service, if its address is not a
-// host with a port, or if a number is out of range.
+// host with a port, if a text is overlong or unprintable, or if a number is out of range.
 func (a Announcement) Check() error {
+	for _, text := range [...]string{string(a.Worker), string(a.Service), a.Address, string(a.FailureDomain), string(a.Kind), string(a.Rack)} {
+		if len(text) > maxTextBytes || !utf8.ValidString(text) || strings.ContainsFunc(text, unicode.IsControl) {
+			return errors.Newf("announcement of worker %.80q: text of %d bytes, %.20q: want at most %d, and no control characters", string(a.Worker), len(text), text, maxTextBytes)
+		}
+	}
 	switch {
 	case a.Worker == "":
 		return errors.New("announcement without a worker")
