One odd entry in another VM's list is left out, and logged

Cause: an entry VM recorded what another VM passed on without a check. Change: it checks each announcement of the answer, leaves out one that fails, and follows the others. Test: TestOddWorkerOfAnotherVMIsFollowed, an answer with four odd announcements and a good one. It also holds that a deregistered worker, whose sequence is the highest number, is still taken out, and that 50 such answers within 50 ms make one line.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -36,6 +36,7 @@
 	TargetSetAside    ID = 403
 	TargetTrusted     ID = 404
 	WorkerAnnounced   ID = 405
+	WorkerRefused     ID = 406
 	AnswerDiscarded   ID = 501
 	LedgerAssigned    ID = 601
 	LedgerTakenOver   ID = 602
@@ -96,6 +97,7 @@
 	{TargetSetAside, zapcore.WarnLevel, "target set aside", "A target fails everything; it gets probes only. Look at it."},
 	{TargetTrusted, zapcore.InfoLevel, "target trusted again", "A probe succeeded."},
 	{WorkerAnnounced, zapcore.InfoLevel, "worker announced", "A worker said something new of itself: that it started, or that it leaves."},
+	{WorkerRefused, zapcore.WarnLevel, "worker refused", "Announcements were not used, the last for the reason in `error`; `count` says how many since the line before. Another program sends them, or a worker that the platform's pages don't describe."},
 	{AnswerDiscarded, zapcore.WarnLevel, "answer discarded", "A target answered late, cut short or for other work. If one target does it often, look at it."},
 	{LedgerAssigned, zapcore.InfoLevel, "ledger assigned", "This entry VM holds a ledger in a new role."},
 	{LedgerTakenOver, zapcore.WarnLevel, "ledger taken over", "The primary was lost; this entry VM is primary now."},
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -7,6 +7,7 @@
 package fleet
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,8 +39,10 @@
 	own      []pool.Report // of the groups that this VM leads
 	reports  map[groupKey]receivedReport
 	// divisions is that of this VM's failure domain; on a control VM, those of all.
-	divisions divisions
-	changed   chan struct{} // closed and replaced at each change
+	divisions       divisions
+	changed         chan struct{} // closed and replaced at each change
+	refused         int           // number of announcements refused since refusedLoggedAt
+	refusedLoggedAt time.Time
 }
 
 // NewKnowledge returns the Knowledge of a VM that just started: only itself.
@@ -123,6 +126,23 @@
 	return true
 }
 
+// refusedLogInterval bounds the log of refused announcements: any program may send them, at
+// any rate.
+const refusedLogInterval = time.Second
+
+// RefuseWorker logs that an announcement of a worker is not used, and the number of those
+// since the last line.
+func (k *Knowledge) RefuseWorker(now time.Time, id worker.ID, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.refused++
+	if now.Sub(k.refusedLoggedAt) < refusedLogInterval {
+		return
+	}
+	event.Log(k.log, event.WorkerRefused, zap.String("worker", fmt.Sprintf("%.80s", id)), zap.Int("count", k.refused), event.Err(err))
+	k.refused, k.refusedLoggedAt = 0, now
+}
+
 // DeregisterWorker records that an incarnation of a worker deregistered; 0 stands
 // for the incarnation that is known.
 func (k *Knowledge) DeregisterWorker(id worker.ID, i worker.Incarnation) {
--- a/tamarackpin/internal/fleet/knowledge_test.go
+++ b/tamarackpin/internal/fleet/knowledge_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
@@ -153,3 +154,49 @@
 		t.Errorf("after a reply about the earlier incarnation, the worker is recorded as %+v", workers)
 	}
 }
+
+// TestOddWorkerOfAnotherVMIsFollowed guards against a control VM that passes on an announcement
+// that is not a worker's, such as one of an older build: the entry VM recorded it, and took
+// the worker's own announcements for older ones. The other workers in the reply hold.
+func TestOddWorkerOfAnotherVMIsFollowed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core, logs := observer.New(zap.InfoLevel)
+	entry := NewKnowledge(vm.Presence{VM: "ip-02", FailureDomain: "a", Incarnation: 1, Callers: true}, zap.New(core))
+	seq, capacity, address, born := announcement("w1", ^uint64(0), "a"), announcement("w2", 2, "a"), announcement("w3", 2, "a"), announcement("w4", 2, "a")
+	capacity.Capacity.MilliCores = 9e18
+	address.Address = "10.0.0.1:99999"
+	born.Incarnation = 1 << 62
+	reply := syncReply{Self: vm.Presence{VM: "ip-01", Control: true}}
+	for _, a := range []worker.Announcement{seq, capacity, address, born, announcement("w5", 2, "a")} {
+		reply.Workers = append(reply.Workers, agedWorker{Announcement: a})
+	}
+	const repeats = 50
+	for i := range repeats {
+		entry.merge(now.Add(time.Duration(i)*time.Millisecond), reply)
+	}
+	if list, _ := entry.Workers("a", 0); len(list) != 1 || list[0].Worker != "w5" {
+		t.Errorf("the VM knows %+v, want w5 only", list)
+	}
+	if n := logs.FilterMessage("worker refused").Len(); n != 1 {
+		t.Errorf("%d lines on refused workers within %d ms, want 1", n, repeats)
+	}
+	now = now.Add(worker.AnnouncementTimeout)
+	for _, id := range []worker.ID{"w1", "w2", "w3", "w4", "w5"} {
+		entry.ObserveWorker(now, announcement(id, 3, "a"), 0)
+	}
+	if n := entry.CountWorkers(now, "a"); n != 5 {
+		t.Errorf("%d workers are usable after their own announcements, want 5", n)
+	}
+	gone := syncReply{Self: vm.Presence{VM: "ip-01", Control: true}}
+	control := knowledge("ip-01", "a")
+	control.ObserveWorker(now, announcement("w5", 3, "a"), 0)
+	control.DeregisterWorker("w5", 1)
+	left, _ := control.Workers("a", 0)
+	for _, r := range left {
+		gone.Workers = append(gone.Workers, agedWorker{Announcement: r.Announcement, Deregistered: true})
+	}
+	entry.merge(now, gone)
+	if n := entry.CountWorkers(now, "a"); n != 4 {
+		t.Errorf("%d workers are usable after one deregistered, want 4", n)
+	}
+}
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -169,13 +169,22 @@
 }
 
 // merge records the reply of another VM. A reply about an earlier incarnation of a
-// worker doesn't affect the current one (issue 17).
+// worker doesn't affect the current one (issue 17). Announcements that fail their check are
+// left out: other builds may pass on what this one refuses from workers.
 func (k *Knowledge) merge(now time.Time, reply syncReply) {
 	k.ObserveVM(now, reply.Self, 0)
 	for _, p := range reply.VMs {
 		k.ObserveVM(now, p.Presence, p.Age.Std())
 	}
 	for _, w := range reply.Workers {
+		checked := w.Announcement
+		if w.Deregistered {
+			checked.Sequence = 0 // the registry set it to the highest number
+		}
+		if err := checked.Check(); err != nil {
+			k.RefuseWorker(now, w.Worker, err)
+			continue
+		}
 		k.ObserveWorker(now, w.Announcement, w.Age.Std())
 		if w.Deregistered {
 			k.DeregisterWorker(w.Worker, w.Incarnation)
