An error in the log has at most 1 KiB

What operators would see: log lines of up to a megabyte, several a second, while a worker's replies have a number with very many digits. Test: TestOverlongErrorIsLogged, a number of 1 MiB.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -139,8 +139,16 @@
 // All returns every event in ascending order.
 func All() []Entry { return append([]Entry(nil), entries...) }
 
-// Err returns err as a field of one line, without the stack that it carries.
-func Err(err error) zap.Field { return zap.String("error", err.Error()) }
+// maxErrorBytes bounds the text of an error in the log. Decoders quote what they cannot
+// decode, in full.
+const maxErrorBytes = 1 << 10
+
+// Err returns err as a field of one line of at most maxErrorBytes, without the stack that it
+// carries.
+func Err(err error) zap.Field {
+	text := err.Error()
+	return zap.String("error", text[:min(len(text), maxErrorBytes)])
+}
 
 // Contain keeps a panic from ending the process: it is deferred in a goroutine or handler
 // whose work can be given up alone, and logs the panic as a [Fault] with its stack. onPanic
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
@@ -38,3 +40,15 @@
 		t.Errorf("fields are %v", fields)
 	}
 }
+
+// TestOverlongErrorIsLogged guards against log lines as long as a message that could not be
+// decoded: the decoder's error quotes a number in full.
+func TestOverlongErrorIsLogged(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	var n int64
+	Log(zap.New(core), Fault, Err(json.Unmarshal([]byte(strings.Repeat("1", 1<<20)), &n)))
+	text := logs.All()[0].ContextMap()["error"].(string)
+	if len(text) > 1<<10 || !strings.HasPrefix(text, "json: cannot unmarshal number 111") {
+		t.Errorf("an error of %d bytes was logged, which begins with %.40q", len(text), text)
+	}
+}
