A heartbeat with a service of no table does not replace a worker's service

What callers would see: after such a heartbeat of another writer, under the ID and the start time of a worker, that worker starts no tasks of its own service until its next heartbeat. Cause: the last heartbeat counted, whatever service it named. Workers of services that the table does not name (yet) are recorded as before: the table may be late, and one that leaves must be acknowledged.

--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -139,6 +139,11 @@
 	return i < 0 || t.Services[i].Unguarded
 }
 
+// HasService reports whether the table names service s.
+func (t *Table) HasService(s worker.Service) bool {
+	return slices.ContainsFunc(t.Services, func(o Service) bool { return o.Name == s })
+}
+
 // Later returns the table that counts, of the one held and a next one.
 func Later(held, next *Table) *Table {
 	if held == nil || next != nil && next.Version > held.Version {
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"tamarackpin.example/internal/event"
@@ -126,6 +127,22 @@
 	return true
 }
 
+// CheckService returns an error for an announcement that a worker cannot have made: of a
+// service that the table does not name, in an incarnation that announced another one. The
+// table of this VM may lack a new service, but no incarnation changes its service.
+func (k *Knowledge) CheckService(a worker.Announcement) error {
+	t := k.Table()
+	if t == nil || t.HasService(a.Service) {
+		return nil
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if r, known := k.registry.Get(a.Worker); known && r.Incarnation == a.Incarnation && r.Service != a.Service {
+		return errors.Newf("worker %s announced service %q before, and now %q, which is not in the table", a.Worker, r.Service, a.Service)
+	}
+	return nil
+}
+
 // refusedLogInterval bounds the log of refused announcements: any program may send them, at
 // any rate.
 const refusedLogInterval = time.Second
