Slots of a submission are released before its caller is answered

What callers and operators see: after the answer to a submission, GET /v1/targets said used 1 and GET /v1/status running 1, want 0.

Cause: run.granted recorded the end of a task first, which for the last task closes the submission and answers its caller in another goroutine, and told the dispatcher of the end afterwards. A goroutine that loses its processor between the two leaves the slot in use for that long; nothing orders the caller's next call behind it. Requests with one answer were not concerned: they are answered after Dispatcher.Done returned.

Change: Dispatcher.Release puts the end into the dispatcher's ring without waiting for it, before the end is recorded. The ring is first in, first out, so whoever asks after the answer sees the slot as free. The record of the end, which a takeover needs, does not wait for the dispatcher.

--- a/tamarackpin/internal/dispatch/dispatcher.go
+++ b/tamarackpin/internal/dispatch/dispatcher.go
@@ -197,6 +197,12 @@
 	return s
 }
 
+// Release takes in how a granted task ended without waiting for it. Whoever asks the
+// Dispatcher after Release returned sees the slot as free.
+func (d *Dispatcher) Release(e End) {
+	d.post(func(d *Dispatcher, now time.Time) { d.end(now, e) })
+}
+
 func (d *Dispatcher) end(now time.Time, e End) Settled {
 	a, ok := d.asked[e.Task]
 	if !ok {
--- a/tamarackpin/internal/ledgers/run.go
+++ b/tamarackpin/internal/ledgers/run.go
@@ -160,8 +160,9 @@
 		return
 	}
 	c.host.config.Recorder.Task(g.Task.Key, result.Code, started.Sub(g.Task.Arrived), result.Service)
+	// The end of the last task answers the caller, who may look at the slots then.
+	c.host.config.Dispatcher.Release(dispatch.End{Task: g.Task.ID, Code: result.Code, Service: result.Service})
 	r.end(i, result)
-	c.host.config.Dispatcher.Done(dispatch.End{Task: g.Task.ID, Code: result.Code, Service: result.Service})
 }
 
 // startedTask is what a started task is sent with.
