An entry VM without a kept view stays not ready while no leader is found

The view that it acts on is another entry VM's, and may be older than the one that was in force here before the restart.

Cause: Server.confirm serves without the quorum if there is a view at all, 3 s after the start. That is meant for a view of the data folder, but one that another entry VM sent since the start counted as well. The first search for a leader takes 5 s, so readiness came 5.0 s after the start; TestCutTable looks at 5.0 s, and passed by some milliseconds.

Change: only a view that the data folder held at the start counts.

Test: TestViewOfAnotherVMDoesNotMakeReady gives an entry VM without a data folder the view of another one and no leader, and looks for 8 s.

--- a/tamarackpin/internal/server/run.go
+++ b/tamarackpin/internal/server/run.go
@@ -117,11 +117,12 @@
 
 // confirm makes this entry VM ready once its View is as late as the quorum's.
 // Where the quorum cannot be reached, a View that was in force here before a
-// restart serves as well: it does not go back.
+// restart serves as well: it does not go back. One that another entry VM sent
+// since then may be older than the one that was in force here.
 func (v *Server) confirm() {
 	for v.ctx.Err() == nil {
 		refusal := v.controller.Confirm(v.ctx)
-		known := v.view().Index > 0 && time.Since(v.begun) > serveKnownAfter
+		known := v.restored && time.Since(v.begun) > serveKnownAfter
 		if refusal == nil || known {
 			pause(v.ctx, learnTargets-time.Since(v.begun))
 			v.confirmed.Store(true)
--- a/tamarackpin/internal/server/server.go
+++ b/tamarackpin/internal/server/server.go
@@ -43,6 +43,7 @@
 	self        settings.VM
 	incarnation vm.Incarnation
 	begun       time.Time
+	restored    bool // the data folder held the View that was in force before the start
 
 	recorder   report.Recorder
 	mux        peer.Mux
@@ -135,6 +136,7 @@
 	if err != nil {
 		return err
 	}
+	v.restored = v.view().Index > 0
 	v.metrics, err = metrics.New(metrics.Gauges{
 		Waiting: v.waiting.Load,
 		Running: v.running.Load,
