A run that does not stop is bounded by its lease

What it could cause: a job that was offloaded to another failure domain is given up there, since its gate or caller left or the dispatcher was lost. Its caller submits it again 1.3 s later, and the job's own failure domain starts it at once, while the run of the first try goes on: its stops get no reply, or it is an orphan of the lost dispatcher, and renewals for the sake of other runs extend the leases of everything on the worker. Change: once a stop is without an acknowledgement for 0.4 s, the leases on its worker are not extended, and it gets no start, until it is acknowledged or the leases have lapsed. Orphans alone are never extended after a takeover, and are stopped 0.45 s after it instead of 0.9 s. TestShrunkWorkerIsNotTriedAgainAndAgain had a run that was stopped as too slow, and left its stop without an answer, which now keeps the worker from new tasks; its estimate is now as long as its progress says.

--- a/internal/pool/capacity_test.go
+++ b/internal/pool/capacity_test.go
@@ -95,6 +95,9 @@
 	for _, id := range []string{"running", "waiting"} {
 		r := unguarded(id)
 		r.Unguarded = false
+		if id == "running" {
+			r.Job.Steps[0].Estimate = 2 * time.Second // as its progress says, so that it is not stopped as too slow
+		}
 		h.pool.Submit(h.now, r)
 		if id == "running" {
 			h.startedJobs()
--- a/internal/pool/late_starts.go
+++ b/internal/pool/late_starts.go
@@ -38,7 +38,7 @@
 // repeatStarts orders the starts on w again that got no reply, for the same runs, once w
 // replies: it carries each run out once, whichever order arrives first.
 func (p *Pool) repeatStarts(now time.Time, w *workerState) {
-	if w.missedReplies > 0 || w.stale || !w.hasDoubtfulStart() {
+	if w.missedReplies > 0 || w.stale || !w.hasDoubtfulStart() || p.leasesMustLapse(now, w) {
 		return
 	}
 	for _, t := range assignedTasks(w) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -75,9 +75,11 @@
 	// stopRetryInterval is how long after a stop without a reply it is sent
 	// again.
 	stopRetryInterval = 250 * time.Millisecond
-	// orphanGrace is how long runs of unknown jobs go on after a takeover, so
-	// that gates can forward the jobs again.
-	orphanGrace = 900 * time.Millisecond
+	// orphanGrace is how long runs of unknown jobs go on after a takeover, as far as their
+	// leases last, so that gates can forward the jobs again. A job that another failure domain
+	// offloaded is not forwarded again; its caller submits it there 1.3 s after the loss of
+	// the previous dispatcher, which is noticed after 0.7 s.
+	orphanGrace = 450 * time.Millisecond
 	// recoveryDelay is how long after a takeover a job that may be running
 	// somewhere waits for workers that have not listed their runs. The previous
 	// dispatcher learns within one renewal that it was fenced, and its leases last
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -47,7 +47,7 @@
 	if w.runsKnown && w.missedReplies == 0 && w.busy() {
 		o.Wait = renewWait
 	}
-	if w.busy() && w.timing.Known() && w.missedReplies == 0 && !p.newlyDivided(now) {
+	if len(w.tasks) > 0 && w.timing.Known() && w.missedReplies == 0 && !p.newlyDivided(now) && !p.leasesMustLapse(now, w) {
 		// Leases of an unresponsive worker, and during recovery from a division, are
 		// not extended: the runs must lapse before their tasks may start elsewhere.
 		o.Deadline = p.leaseDeadline(now, w)
@@ -56,6 +56,26 @@
 	p.enqueueOrder(now, w, o)
 }
 
+// leasesMustLapse reports whether a run on w has not stopped in spite of its orders. A
+// deadline extends the leases of all runs there, and the caller of a job that was given up may
+// submit it in another failure domain, which knows nothing of this run.
+func (p *Pool) leasesMustLapse(now time.Time, w *workerState) bool {
+	if len(w.orphans) > 0 && now.Sub(p.startedAt) > orphanGrace+stopPatience {
+		return true
+	}
+	for _, t := range w.tasks {
+		if t.phase == stopping && t.stopAckedAt.IsZero() && now.Sub(t.stoppingSince) > stopPatience {
+			return true
+		}
+	}
+	return false
+}
+
+// stopPatience is how long a stop may be without an acknowledgement before the leases on its
+// worker are not extended any more: two tries. With a lease, that is less than the time
+// after which callers submit a job again.
+const stopPatience = 400 * time.Millisecond
+
 // probeInterval is the least time from the newest renewal to the next one to a worker that
 // missed two replies, and to a probe of one that missed a reply or that needsProbe names. A
 // worker that missed a reply gets no task until it replies.
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -170,7 +170,7 @@
 // stopTask stops the current run of t, which stays assigned until it is known to
 // have ended.
 func (p *Pool) stopTask(now time.Time, t *task) {
-	t.phase = stopping
+	t.phase, t.stoppingSince = stopping, now
 	p.sendStop(now, t)
 }
 
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -34,7 +34,7 @@
 	}
 	var candidates []*workerState
 	for _, w := range p.byID {
-		if w.free.MilliCores >= least && len(w.orphans) == 0 && w.timing.Known() && w.eligible(now) && !p.runsSuspect(w) {
+		if w.free.MilliCores >= least && len(w.orphans) == 0 && w.timing.Known() && w.eligible(now) && !p.runsSuspect(w) && !p.leasesMustLapse(now, w) {
 			w.reserved = false
 			candidates = append(candidates, w)
 		}
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -43,6 +43,7 @@
 	ackedAt        time.Time // when the worker acknowledged the start; zero before; see handleNewIncarnation
 	startSentAt    time.Time // when the start was last ordered: later than orderedAt if it was repeated
 	lapsesAt       time.Time // latest time at which a run of the current start may still execute, if it is never acknowledged
+	stoppingSince  time.Time // when the first stop of the current run was ordered
 	stopSentAt     time.Time // when the newest stop was ordered
 	stopAckedAt    time.Time // when the worker acknowledged a stop; zero before
 }
