An adopted run starts without the state of the run before it

What callers would see: a task that runs twice at once (TWICE), without any restart of a worker. Cause: adopting a run that a worker lists kept when the previous run of the task was stopped, acknowledged, ordered and last seen to progress. Found by a reviewer; it needs a worker that lists its runs late, after the task ran and was stopped elsewhere, as behind a cut or while orders get no reply. Change: one function resets all that belongs to a run, for starts and adoptions. Tests: TestAdoptedRunNeedsItsOwnStop (run 2 started on w2 although the stop on w1 was not acknowledged) and TestAdoptedRunIsNotStalled (1 stall) failed before.

--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -38,7 +38,7 @@
 		return j.admission
 	}
 	if !p.newlyDivided(now) {
-		p.adopt(j)
+		p.adopt(now, j)
 	}
 	p.scheduleTasks(now)
 	if j.hasWaitingTasks() && now.Sub(p.lastShedAt) >= p.shedGap() {
@@ -84,7 +84,7 @@
 
 // adopt assigns to j its tasks' orphan runs: those that workers list and that an
 // earlier dispatcher started. They go on rather than start again.
-func (p *Pool) adopt(j *jobState) {
+func (p *Pool) adopt(now time.Time, j *jobState) {
 	for _, w := range p.byID {
 		if len(w.orphans) == 0 {
 			continue
@@ -95,9 +95,9 @@
 				continue
 			}
 			delete(w.orphans, t.name)
-			t.run, t.phase = run, running
+			t.beginRun(p.startedAt, run) // marks the run as adopted, see handleEnd
+			t.phase, t.ackedAt, t.progressAt = running, p.startedAt, now
 			j.mayHaveStarted = true
-			t.orderedAt, t.ackedAt = p.startedAt, p.startedAt // orderedAt marks the run as adopted, see handleEnd
 			t.assign(w)
 		}
 	}
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -135,7 +135,7 @@
 		}
 		w.orphans[name] = row.Run
 		if j := p.jobs[name.Job]; j != nil && !j.closed && !p.newlyDivided(now) {
-			p.adopt(j)
+			p.adopt(now, j)
 		}
 	}
 	for name, run := range w.orphans {
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -290,11 +290,9 @@
 // startTask assigns t to w and orders a new run of it there.
 func (p *Pool) startTask(now time.Time, w *workerState, t *task) {
 	p.Counts.Started++
-	t.run = max(t.run, p.lateStarts.HighestRun(t.name)) + 1
+	t.beginRun(now, max(t.run, p.lateStarts.HighestRun(t.name))+1)
 	t.phase = starting
 	t.job.mayHaveStarted = true
-	t.percent, t.progressAt, t.startInherited = 0, now, false
-	t.orderedAt, t.ackedAt, t.stopSentAt, t.stopAckedAt = now, time.Time{}, time.Time{}, time.Time{}
 	t.assign(w)
 	w.reserved = p.isSuspect(t)
 	p.orderStart(now, w, t)
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -48,6 +48,13 @@
 	stopAckedAt    time.Time // when the worker acknowledged a stop; zero before
 }
 
+// beginRun forgets what is known of the previous run of t.
+func (t *task) beginRun(orderedAt time.Time, run job.Run) {
+	t.run, t.orderedAt, t.startSentAt = run, orderedAt, orderedAt
+	t.percent, t.progressAt, t.startInherited = 0, orderedAt, false
+	t.ackedAt, t.lapsesAt, t.stoppingSince, t.stopSentAt, t.stopAckedAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}, time.Time{}
+}
+
 // assigned reports whether the task has a worker, on which it may run.
 func (t *task) assigned() bool { return t.worker != nil }
 
--- a/internal/pool/unstopped_test.go
+++ b/internal/pool/unstopped_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/latestart"
 )
 
 // TestStopWithoutAnswerIsBoundedByLease: the stops of a withdrawn job get no reply, while the
@@ -67,3 +68,81 @@
 	}
 	t.Error("the orphan is never stopped")
 }
+
+// TestAdoptedRunNeedsItsOwnStop: a run is adopted after an earlier one of the same task was
+// stopped. The acknowledgement of that stop counted for the adopted run, so that its task
+// started elsewhere beside it.
+func TestAdoptedRunNeedsItsOwnStop(t *testing.T) {
+	h := &harness{t: t, now: time.Unix(1000, 0)}
+	h.pool = New(h.now, Config{Fence: 1, LeaseMax: time.Second, StopMax: 50 * time.Millisecond})
+	h.announce("w0", 1)
+	h.announce("w1", 1)
+	r := request("a", 1, time.Second)
+	r.RemainingWait, r.Stretch = 30*time.Second, 10
+	var late Order // the first query of w1, which replies last
+	for _, o := range h.ordersOfKind(RenewOrder) {
+		if o.Worker == "w0" {
+			h.reply(o, Reply{Done: true})
+		} else {
+			late = o
+		}
+	}
+	admission := h.pool.Submit(h.now, r)
+	start := h.ordersOfKind(StartOrder)[0]
+	h.reply(start, Reply{Done: true})
+	task := h.pool.jobs["a"].tasks[0]
+	for stopped := false; task.phase != waiting; h.advance(5 * time.Millisecond) { // it stalls on w0
+		orders, _ := h.takePending()
+		for _, o := range orders {
+			reply := Reply{Done: true, Running: []RunningTask{{Task: start.Task, Run: start.Run, Percent: 3}}}
+			if stopped = stopped || o.Kind == StopOrder; stopped {
+				reply = Reply{Done: true, EndedRuns: []End{{Number: 1, Task: start.Task, Run: start.Run, Kind: EndedOther}}}
+			}
+			if o.Worker == "w0" {
+				h.reply(o, reply)
+			}
+		}
+	}
+	h.reply(late, Reply{Done: true, Running: []RunningTask{{Task: start.Task, Run: 1, Percent: 3}}})
+	if task.worker == nil || task.worker.Worker != "w1" {
+		t.Fatalf("task %+v, want it to be adopted on w1", task)
+	}
+	h.pool.Withdraw(h.now, admission)
+	h.advance(5 * time.Millisecond)
+	h.takePending()
+	h.announce("w2", 1)
+	for _, o := range h.ordersOfKind(RenewOrder) {
+		if o.Worker == "w2" {
+			h.reply(o, Reply{Done: true})
+		}
+	}
+	h.pool.Submit(h.now, r)
+	for range 100 {
+		h.advance(5 * time.Millisecond)
+		for _, o := range h.ordersOfKind(StartOrder) {
+			t.Fatalf("run %d starts on %s although the stop on w1 is not acknowledged", o.Run, o.Worker)
+		}
+	}
+}
+
+// TestAdoptedRunIsNotStalled: a late start is adopted seconds after the takeover, and counted
+// as stalled since then.
+func TestAdoptedRunIsNotStalled(t *testing.T) {
+	h := newHarness(t, 1)
+	h.advance(3 * time.Second)
+	h.announce("w0", 2)
+	task := job.Task{Job: "a"}
+	h.pool.lateStarts.Merge(h.now, []latestart.Record{{Task: task, Run: 1, Worker: "w0", Expires: h.now.Add(9 * time.Second)}})
+	r := request("a", 1, time.Second)
+	r.RemainingWait, r.Stretch = 30*time.Second, 10
+	h.pool.Submit(h.now, r)
+	h.advance(2 * time.Millisecond)
+	for _, o := range h.ordersOfKind(RenewOrder) {
+		if o.Incarnation == 2 {
+			h.reply(o, Reply{Done: true, Running: []RunningTask{{Task: task, Run: 1}}})
+		}
+	}
+	if stalls := h.pool.workers["w0"].stalls; stalls > 0 || h.pool.jobs["a"].tasks[0].phase != running {
+		t.Errorf("phase %d, %d stalls; want the adopted run to go on", h.pool.jobs["a"].tasks[0].phase, stalls)
+	}
+}
