--- a/internal/latestart/log.go
+++ b/internal/latestart/log.go
@@ -5,6 +5,7 @@
 package latestart
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -27,10 +28,12 @@
 	Record
 	stopSentAt time.Time
 	// barredIn is the newest incarnation that acknowledged a stop of the run, so that it will
-	// not start the run any more; if it had started the run, that ends by barredAt.
-	barredIn worker.Incarnation
-	barredAt time.Time
-	reported bool // in reports once
+	// not start the run any more; if it had started the run, that ends by barredAt. It last did
+	// so at confirmedAt.
+	barredIn    worker.Incarnation
+	barredAt    time.Time
+	confirmedAt time.Time
+	reported    bool // in reports once
 }
 
 // Add records a start without a reply. A repeated start of the same run moves the expiry.
@@ -73,32 +76,45 @@
 // Empty reports whether no start may still be carried out.
 func (l *Log) Empty() bool { return len(l.tasks) == 0 }
 
+// barLifetime is how long the acknowledgement of a stop counts: a worker that has restarted
+// since then, which takes longer, would start the run beside the new one.
+const barLifetime = 300 * time.Millisecond
+
 // Permits reports whether a task may start on an incarnation of a worker: no late start of
 // it can be carried out on another worker, nor on this one beside the new run.
 func (l *Log) Permits(now time.Time, t job.Task, id worker.ID, i worker.Incarnation) bool {
 	for _, e := range l.tasks[t] {
-		if now.Before(e.Expires) && (e.Worker != id || e.barredIn != i || now.Before(e.barredAt)) {
+		if now.Before(e.Expires) && (e.Worker != id || e.barredIn != i || now.Before(e.barredAt) || now.Sub(e.confirmedAt) > barLifetime) {
 			return false
 		}
 	}
 	return true
 }
 
-// Workers returns the workers that may carry out a late start of a task, and the time by
-// which none will.
-func (l *Log) Workers(now time.Time, t job.Task) (ids []worker.ID, until time.Time) {
+// Binding says that a worker may carry out a late start of a task until a time.
+type Binding struct {
+	Worker worker.ID
+	Until  time.Time
+}
+
+// Bindings returns the workers that may carry out a late start of a task, the one that may for
+// longest first.
+func (l *Log) Bindings(now time.Time, t job.Task) []Binding {
+	var list []Binding
 	for _, e := range l.tasks[t] {
 		if !now.Before(e.Expires) {
 			continue
 		}
-		if !slices.Contains(ids, e.Worker) {
-			ids = append(ids, e.Worker)
-		}
-		if e.Expires.After(until) {
-			until = e.Expires
+		i := slices.IndexFunc(list, func(b Binding) bool { return b.Worker == e.Worker })
+		switch {
+		case i < 0:
+			list = append(list, Binding{e.Worker, e.Expires})
+		case e.Expires.After(list[i].Until):
+			list[i].Until = e.Expires
 		}
 	}
-	return ids, until
+	slices.SortFunc(list, func(a, b Binding) int { return cmp.Or(b.Until.Compare(a.Until), cmp.Compare(a.Worker, b.Worker)) })
+	return list
 }
 
 // Tasks returns the tasks that have Records, in order.
@@ -114,11 +130,13 @@
 }
 
 // TakeDueStops returns the starts on an incarnation of a worker that it may still carry out
-// and whose newest stop is older than interval, and notes that they are stopped now.
-func (l *Log) TakeDueStops(now time.Time, id worker.ID, i worker.Incarnation, interval time.Duration) []Record {
+// and whose newest stop is older than interval, and notes that they are stopped now. If their
+// tasks wait, so are those whose stop was acknowledged too long ago.
+func (l *Log) TakeDueStops(now time.Time, id worker.ID, i worker.Incarnation, interval time.Duration, waits func(job.Task) bool) []Record {
 	var due []Record
 	for _, e := range l.workers[id] {
-		if e.barredIn != i && now.Before(e.Expires) && now.Sub(e.stopSentAt) >= interval {
+		needed := e.barredIn != i || now.Sub(e.confirmedAt) >= barLifetime && waits(e.Task)
+		if needed && now.Before(e.Expires) && now.Sub(e.stopSentAt) >= interval {
 			e.stopSentAt = now
 			due = append(due, e.Record)
 		}
@@ -127,23 +145,28 @@
 }
 
 // Bar records that an incarnation of a worker acknowledged a stop of a run, which also
-// excludes lower ones. A run that it stopped ends by endsBy.
-func (l *Log) Bar(t job.Task, run job.Run, id worker.ID, i worker.Incarnation, endsBy time.Time) {
+// excludes lower ones. A run that it stopped ends within stopMax.
+func (l *Log) Bar(now time.Time, t job.Task, run job.Run, id worker.ID, i worker.Incarnation, stopMax time.Duration) {
 	for _, e := range l.tasks[t] {
-		if e.Worker == id && e.Run <= run && e.barredIn != i {
-			e.barredIn, e.barredAt = i, endsBy
+		if e.Worker != id || e.Run > run {
+			continue
+		}
+		if e.barredIn != i {
+			e.barredIn, e.barredAt = i, now.Add(stopMax)
 		}
+		e.confirmedAt = now
 	}
 }
 
-// Settle drops a start that was ordered once and got its reply after all.
-func (l *Log) Settle(t job.Task, run job.Run, id worker.ID) {
-	i := slices.IndexFunc(l.tasks[t], func(e *entry) bool { return e.Run == run && e.Worker == id })
+// Settle drops a start that got its reply after all. It keeps one of another dispatcher,
+// which has another expiry, even if worker and run are the same.
+func (l *Log) Settle(r Record) {
+	i := slices.IndexFunc(l.tasks[r.Task], func(e *entry) bool { return e.Record == r })
 	if i < 0 {
 		return
 	}
-	e := l.tasks[t][i]
-	l.workers[id] = slices.DeleteFunc(l.workers[id], func(o *entry) bool { return o == e })
+	e := l.tasks[r.Task][i]
+	l.workers[r.Worker] = slices.DeleteFunc(l.workers[r.Worker], func(o *entry) bool { return o == e })
 	l.remove(e)
 }
 
--- a/internal/latestart/log_test.go
+++ b/internal/latestart/log_test.go
@@ -36,27 +36,27 @@
 		{"one on w1", func(l *Log) { l.Add(start, lateOn("w1", 1, 13*time.Second)) }},
 		{"one on w1, which stopped it in incarnation 1", func(l *Log) {
 			l.Add(start, lateOn("w1", 1, 13*time.Second))
-			l.Bar(task, 1, "w1", 1, start.Add(time.Second))
+			l.Bar(start, task, 1, "w1", 1, 200*time.Millisecond)
 		}},
 		{"the same, stopped anew in incarnation 2", func(l *Log) {
 			l.Add(start, lateOn("w1", 1, 13*time.Second))
-			l.Bar(task, 1, "w1", 1, start.Add(time.Second))
-			l.Bar(task, 1, "w1", 2, start.Add(time.Second))
+			l.Bar(start, task, 1, "w1", 1, 200*time.Millisecond)
+			l.Bar(start, task, 1, "w1", 2, 200*time.Millisecond)
 		}},
 		{"one of run 2, and a stop of run 1", func(l *Log) {
 			l.Add(start, lateOn("w1", 2, 13*time.Second))
-			l.Bar(task, 1, "w1", 1, start.Add(time.Second))
+			l.Bar(start, task, 1, "w1", 1, 200*time.Millisecond)
 		}},
 		{"runs 1 and 2, and a stop of run 2", func(l *Log) {
 			l.Add(start, lateOn("w1", 1, 13*time.Second))
 			l.Add(start, lateOn("w1", 2, 13*time.Second))
-			l.Bar(task, 2, "w1", 1, start.Add(time.Second))
+			l.Bar(start, task, 2, "w1", 1, 200*time.Millisecond)
 		}},
 		{"one on each of two workers, both stopped", func(l *Log) {
 			l.Add(start, lateOn("w1", 1, 13*time.Second))
 			l.Add(start, lateOn("w2", 2, 13*time.Second))
-			l.Bar(task, 1, "w1", 1, start.Add(time.Second))
-			l.Bar(task, 2, "w2", 1, start.Add(time.Second))
+			l.Bar(start, task, 1, "w1", 1, 200*time.Millisecond)
+			l.Bar(start, task, 2, "w2", 1, 200*time.Millisecond)
 		}},
 		{"the start was repeated 3 s later", func(l *Log) {
 			l.Add(start, lateOn("w1", 1, 13*time.Second))
@@ -69,8 +69,12 @@
 		{"its reply arrived after all", func(l *Log) {
 			l.Add(start, lateOn("w1", 1, 13*time.Second))
 			l.Add(start, lateOn("w2", 2, 13*time.Second))
-			l.Settle(task, 2, "w2")
-			l.Bar(task, 1, "w1", 1, start.Add(time.Second))
+			l.Settle(lateOn("w2", 2, 13*time.Second))
+			l.Bar(start, task, 1, "w1", 1, 200*time.Millisecond)
+		}},
+		{"the reply to a start of another dispatcher arrived", func(l *Log) {
+			l.Add(start, lateOn("w1", 1, 13*time.Second))
+			l.Settle(lateOn("w1", 1, 12*time.Second))
 		}},
 		{"another worker is at its address", func(l *Log) {
 			l.Add(start, lateOn("w1", 1, 13*time.Second))
@@ -80,12 +84,12 @@
 	var page bytes.Buffer
 	fmt.Fprintln(&page, "state | seconds | w1 in incarnation 1 | w1 in incarnation 2 | w2 in incarnation 1")
 	for _, s := range states {
-		for _, after := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 13500 * time.Millisecond, 15 * time.Second, 17 * time.Second} {
+		for _, after := range []time.Duration{100 * time.Millisecond, 250 * time.Millisecond, 2 * time.Second, 13500 * time.Millisecond, 15 * time.Second, 17 * time.Second} {
 			var l Log
 			s.set(&l)
 			now := start.Add(after)
 			l.Expire(now)
-			fmt.Fprintf(&page, "%s | %.1f | %t | %t | %t\n", s.name, after.Seconds(),
+			fmt.Fprintf(&page, "%s | %.2f | %t | %t | %t\n", s.name, after.Seconds(),
 				l.Permits(now, task, "w1", 1), l.Permits(now, task, "w1", 2), l.Permits(now, task, "w2", 1))
 		}
 	}
@@ -98,8 +102,9 @@
 	const interval = 250 * time.Millisecond
 	var l Log
 	l.Add(start, lateOn("w1", 1, 13*time.Second))
+	waits := false
 	due := func(after time.Duration, i worker.Incarnation) int {
-		return len(l.TakeDueStops(start.Add(after), "w1", i, interval))
+		return len(l.TakeDueStops(start.Add(after), "w1", i, interval, func(job.Task) bool { return waits }))
 	}
 	for _, c := range []struct {
 		after       time.Duration
@@ -110,11 +115,15 @@
 			t.Errorf("%s after the start: %d stops are due, want %d", c.after, n, c.want)
 		}
 	}
-	l.Bar(task, 1, "w1", 1, start.Add(time.Second))
+	l.Bar(start, task, 1, "w1", 1, 200*time.Millisecond)
 	if n := due(2*time.Second, 1); n != 0 {
 		t.Errorf("%d stops are due once the incarnation acknowledged one, want none", n)
 	}
-	if n := due(2*time.Second, 2); n != 1 {
+	waits = true
+	if n := due(2*time.Second, 1); n != 1 {
+		t.Errorf("%d stops are due for a waiting task 2 s after the incarnation acknowledged one, want 1", n)
+	}
+	if n := due(3*time.Second, 2); n != 1 {
 		t.Errorf("%d stops are due in the next incarnation, want 1", n)
 	}
 	if n := due(14*time.Second, 2); n != 0 {
--- a/internal/pool/crash_schedule_test.go
+++ b/internal/pool/crash_schedule_test.go
@@ -43,14 +43,14 @@
 }
 
 const (
-	deadlyPercent   = 15 // of the jobs
-	failingPercent  = 15 // of the jobs, if some tasks fail
-	minOrderDelay   = 2 * time.Second
-	maxOrderDelay   = 12 * time.Second
-	maxResubmits    = 3
-	hazardSteps     = 3200
-	refusedDelay    = 2 * time.Millisecond
-	deadlyTaskIndex = 0 // also of the tasks that fail
+	deadlyPercent      = 15 // of the jobs
+	failingPercent     = 15 // of the jobs, if some tasks fail
+	shortestOrderDelay = 2 * time.Second
+	longestOrderDelay  = 12 * time.Second
+	maxResubmits       = 3
+	hazardSteps        = 3200
+	refusedDelay       = 2 * time.Millisecond
+	deadlyTaskIndex    = 0 // also of the tasks that fail
 )
 
 func newHazards(seed uint64, latePercent int) *hazards {
@@ -85,7 +85,7 @@
 // delay has some orders carried out late, without a reply.
 func (h *hazards) delay(sim *simulation, f *scheduledEvent) {
 	if h.r.IntN(100) < h.latePercent {
-		f.at, f.replyLost = sim.now.Add(minOrderDelay+time.Duration(h.r.Int64N(int64(maxOrderDelay-minOrderDelay)))), true
+		f.at, f.replyLost = sim.now.Add(shortestOrderDelay+time.Duration(h.r.Int64N(int64(longestOrderDelay-shortestOrderDelay)))), true
 	}
 }
 
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -33,6 +33,7 @@
 		j.inherit(old)
 	}
 	p.jobs[r.Job.ID] = j
+	j.mayHaveStarted = j.mayHaveStarted || p.hasLateStart(now, j)
 	if p.isGivenUp(j) {
 		p.giveUp(now, j)
 		return j.admission
@@ -142,6 +143,9 @@
 // answer queues a as the answer to j's admission and closes j.
 func (p *Pool) answer(now time.Time, j *jobState, a Answer) {
 	a.Admission = j.admission
+	if a.Outcome == job.NotRun && p.hasLateStart(now, j) { // reported by another dispatcher meanwhile
+		a = Answer{Admission: j.admission, Outcome: job.Abandoned, Reason: a.Reason}
+	}
 	p.answers = append(p.answers, a)
 	if a.Outcome == job.Abandoned {
 		p.reportLateStarts(now, j)
--- a/internal/pool/late_starts.go
+++ b/internal/pool/late_starts.go
@@ -1,11 +1,11 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/latestart"
-	"tamarackpin.example/internal/worker"
 )
 
 // lateStart returns the record of the newest order to start t, which got no reply yet.
@@ -32,6 +32,12 @@
 	}
 }
 
+// hasLateStart reports whether a start of a task of j, by this or another dispatcher, may
+// still be carried out.
+func (p *Pool) hasLateStart(now time.Time, j *jobState) bool {
+	return !p.lateStarts.Empty() && slices.ContainsFunc(j.tasks, func(t *task) bool { return len(p.lateStarts.Bindings(now, t.name)) > 0 })
+}
+
 // repeated reports whether the start of the current run was ordered more than once.
 func (t *task) repeated() bool { return t.startSentAt.After(t.orderedAt) }
 
@@ -65,13 +71,23 @@
 	if p.lateStarts.Empty() || w.missedReplies > 0 || w.stale || !w.runsKnown {
 		return
 	}
-	for _, r := range p.lateStarts.TakeDueStops(now, w.Worker, w.Incarnation, stopRetryInterval) {
+	for _, r := range p.lateStarts.TakeDueStops(now, w.Worker, w.Incarnation, stopRetryInterval, p.isWaiting) {
 		if w.tasks[r.Task] == nil {
 			p.enqueueOrder(now, w, Order{Kind: StopOrder, Task: r.Task, Run: r.Run})
 		}
 	}
 }
 
+// isWaiting reports whether a task of a pending job waits to start.
+func (p *Pool) isWaiting(name job.Task) bool {
+	j := p.jobs[name.Job]
+	if j == nil || j.closed {
+		return false
+	}
+	t := j.task(name)
+	return t != nil && t.phase == waiting
+}
+
 // giveUpBlockedJobs answers the pending jobs with a task that no worker may start before the
 // caller's deadline, since each of two workers may carry out a late start of it, or one that is
 // not in the group.
@@ -84,14 +100,24 @@
 		if j == nil || j.closed {
 			continue
 		}
-		bound, until := p.lateStarts.Workers(now, name)
-		if t := j.task(name); t != nil && t.phase == waiting && p.isBlocked(bound) && until.After(j.callerDeadline) {
+		if t := j.task(name); t != nil && t.phase == waiting && p.blockedUntil(now, name).After(j.callerDeadline) {
 			p.answer(now, j, Answer{Outcome: job.Abandoned, Reason: "an earlier start of one of its tasks got no reply and may still be carried out elsewhere"})
 		}
 	}
 }
 
-// isBlocked reports whether a task that is bound to these workers can start on none of them.
-func (p *Pool) isBlocked(bound []worker.ID) bool {
-	return len(bound) > 1 || len(bound) == 1 && p.workers[bound[0]] == nil && !p.config.WorkersIncomplete
+// blockedUntil returns the time before which a task cannot start anywhere, since a late start
+// of it may be carried out on another worker than the one it is bound to for longest, or on
+// one that is not in the group. It is zero if there is none.
+func (p *Pool) blockedUntil(now time.Time, name job.Task) time.Time {
+	bindings := p.lateStarts.Bindings(now, name)
+	switch {
+	case len(bindings) == 0:
+		return time.Time{}
+	case p.workers[bindings[0].Worker] == nil && !p.config.WorkersIncomplete:
+		return bindings[0].Until
+	case len(bindings) > 1:
+		return bindings[1].Until
+	}
+	return time.Time{}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -242,9 +242,14 @@
 	}
 }
 
-// lateOrderLimit is the upper bound from sending an order to the end of any run that it
-// starts: at most 12 s of delay, as the platform states it, plus one lease.
-const lateOrderLimit = 13 * time.Second
+const (
+	// maxOrderDelay is how late an order may be carried out, as the platform states it.
+	maxOrderDelay = 12 * time.Second
+	// lateOrderLimit is the upper bound from the decision on an order to the end of any run that
+	// it starts: the order is sent within OrderTimeout, and its lease of at most one second is
+	// measured on a clock that may be slow.
+	lateOrderLimit = maxOrderDelay + OrderTimeout + 1300*time.Millisecond
+)
 
 // PruneWorkers drops the workers for which keep returns false, except those that
 // may run something or have a renewal outstanding.
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -77,7 +77,13 @@
 	rec := w.Record
 	rec.Incarnation, rec.Sequence = r.RepliedBy, 0
 	p.handleRestart(now, w, rec)
-	if t := w.tasks[r.Task]; r.Kind == StartOrder && r.Done && t != nil && t.run == r.Run {
+	t := w.tasks[r.Task]
+	switch {
+	case r.Kind != StartOrder || !r.Done || t == nil || t.run != r.Run:
+	case t.phase == stopping: // the earlier incarnation may have acknowledged the stop
+		t.stopAckedAt = time.Time{}
+		p.stopTask(now, t)
+	default:
 		t.phase = running
 	}
 }
@@ -107,7 +113,7 @@
 		return
 	}
 	if !r.Unanswered() && !t.repeated() {
-		p.lateStarts.Settle(t.name, t.run, w.Worker) // handleRestart may have recorded it
+		p.lateStarts.Settle(r.LateStart()) // handleRestart may have recorded it
 	}
 	switch {
 	case r.Done:
@@ -184,7 +190,7 @@
 // cannot start any more, and if it is running it ends within StopMax.
 func (p *Pool) handleStopReply(now time.Time, w *workerState, r Reply) {
 	if r.Done {
-		p.lateStarts.Bar(r.Task, r.Run, w.Worker, w.Incarnation, now.Add(p.config.StopMax+stopSlack))
+		p.lateStarts.Bar(now, r.Task, r.Run, w.Worker, w.Incarnation, p.config.StopMax+stopSlack)
 	}
 	// Stops sent before the recorded acknowledgement don't prolong the wait for
 	// StopMax; that of a stop sent later starts anew.
@@ -246,6 +252,9 @@
 func (p *Pool) checkTask(now time.Time, w *workerState, t *task) {
 	if now.After(w.leasesUntil) && now.After(t.lapsesAt) && w.missedReplies > 0 {
 		p.Counts.Lapsed++
+		if t.ackedAt.IsZero() {
+			p.addLateStart(now, t.lateStart())
+		}
 		p.recordLoss(now, w, t, w.lapseEvidence(t.orderedAt))
 		p.requeue(t)
 		p.forgetIfDone(t.job)
@@ -258,7 +267,7 @@
 	case !t.stopAckedAt.IsZero() && now.Sub(t.stopAckedAt) > p.config.StopMax+stopSlack:
 		if t.ackedAt.IsZero() {
 			p.addLateStart(now, t.lateStart()) // its reply may still be missing
-			p.lateStarts.Bar(t.name, t.run, w.Worker, w.Incarnation, now)
+			p.lateStarts.Bar(now, t.name, t.run, w.Worker, w.Incarnation, 0)
 		}
 		p.requeue(t)
 		p.forgetIfDone(t.job)
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -168,8 +168,7 @@
 	var bestTime time.Duration
 	bestMeets := false
 	suspect := p.isSuspect(t)
-	bound, _ := p.lateStarts.Workers(now, t.name)
-	isBound := len(bound) > 0 // to the worker of its late start
+	isBound := len(p.lateStarts.Bindings(now, t.name)) > 0 // to the worker of its late start
 	for _, w := range candidates {
 		if w.reserved || !p.lateStarts.Permits(now, t.name, w.Worker, w.Incarnation) || !fits(w, t, isBound) || t.job.Unguarded && !w.capacityKnown(now) {
 			continue
