A restarted VM learns late starts from followers too

What callers could see: a task that runs twice at once, after the process of a dispatcher restarted and led again. Cause: only a leader told a VM that had started of the starts without a reply. If the leader itself restarts, the followers knew and did not tell it. Change: every entry VM of the failure domain tells a VM that has started. Messages that are lost are not repeated; PROOFS.md lists it. Test: TestRestartedVMLearnsLateStartsFromFollower failed before (no message).

--- a/tamarackpin/internal/group/crashes.go
+++ b/tamarackpin/internal/group/crashes.go
@@ -84,7 +84,7 @@
 		return
 	}
 	if g.incarnations == nil {
-		g.incarnations, g.startedVMs = make(map[vm.ID]vm.Incarnation), make(map[vm.ID]bool)
+		g.incarnations, g.startedVMs, g.lackLateStarts = make(map[vm.ID]vm.Incarnation), make(map[vm.ID]bool), make(map[vm.ID]bool)
 	}
-	g.incarnations[p.VM], g.startedVMs[p.VM] = p.Incarnation, true
+	g.incarnations[p.VM], g.startedVMs[p.VM], g.lackLateStarts[p.VM] = p.Incarnation, true, true
 }
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -108,6 +108,7 @@
 	lateStartsSentAt, lateStartsReportedAt time.Time
 	incarnations                           map[vm.ID]vm.Incarnation // of the VMs whose heartbeats arrived
 	startedVMs                             map[vm.ID]bool           // VMs that may lack crash records
+	lackLateStarts                         map[vm.ID]bool           // VMs that may lack late starts
 	calls                                  sync.WaitGroup
 }
 
--- a/tamarackpin/internal/group/late_starts.go
+++ b/tamarackpin/internal/group/late_starts.go
@@ -28,14 +28,13 @@
 
 // shareLateStarts logs the starts without a reply that are new here and sends them to the
 // other entry VMs of the failure domain, also if this VM has just ceased to lead. VMs that
-// have started since get all that are known from a leader. Those of jobs that may be submitted
-// again go to the other failure domains too.
+// have started since get all that are known: one of them may lead next, and the leader may have
+// started itself. Those of jobs that may be submitted again go to the other failure domains too.
 func (g *Group) shareLateStarts(ctx context.Context, now time.Time) {
-	if g.leads() {
-		for id := range g.startedVMs {
-			g.sendLateStarts(ctx, now, id, g.lateStarts.Records(now))
-		}
+	for id := range g.lackLateStarts {
+		g.sendLateStarts(ctx, now, id, g.lateStarts.Records(now))
 	}
+	clear(g.lackLateStarts)
 	if now.Sub(g.lateStartsSentAt) >= lateStartInterval {
 		if changes := g.lateStarts.TakeChanges(); len(changes) > 0 {
 			g.lateStartsSentAt = now
--- a/tamarackpin/internal/group/late_starts_test.go
+++ b/tamarackpin/internal/group/late_starts_test.go
@@ -25,6 +25,27 @@
 	}
 }
 
+// TestRestartedVMLearnsLateStartsFromFollower: the leader's process restarts and leads again; only a
+// follower knows the late starts.
+func TestRestartedVMLearnsLateStartsFromFollower(t *testing.T) {
+	follower, other := twoVMs(t, "a")
+	for _, s := range follower.groups {
+		s.dropPool()
+	}
+	now := time.Now()
+	task := job.Task{Job: "late"}
+	follower.lateStarts.Merge(now, []latestart.Record{{Task: task, Run: 1, Worker: "w1", Expires: now.Add(13 * time.Second)}})
+	hb := other.heartbeat()
+	hb.Self.Incarnation++
+	follower.applyHeartbeat(now, hb)
+	follower.applyDecisions(t.Context(), now)
+	other.waitForCommands(t, 1)
+	other.runNext(t)
+	if other.lateStarts.Permits(now, task, "w2", 1) {
+		t.Error("the restarted VM may start the task elsewhere")
+	}
+}
+
 // TestLateStartsOfAnAbandonedJobAreKnownElsewhere: the caller of an abandoned job submits it
 // again in another failure domain, while an order may still start it in the first one.
 func TestLateStartsOfAnAbandonedJobAreKnownElsewhere(t *testing.T) {
