An announcement without a clock reading does not set the worker's clock to 0

Cause: a missing reading counted as 0, and replaced one that was over a second old. The deadline of the next start was 700 ms after the worker's own start. Change: a reading of 0 is ignored, as in replies. Test: TestAnnouncementWithoutClock.

--- a/internal/pool/capacity_test.go
+++ b/internal/pool/capacity_test.go
@@ -209,3 +209,19 @@
 		t.Errorf("a job of two tasks allocated %d bytes on a worker of %d cores, want at most %d", allocated, 1<<20/1000, limit)
 	}
 }
+
+// TestAnnouncementWithoutClock guards against an announcement that has no clock reading, which
+// counted as a reading of 0 once the last one was a second old: the worker refused the next
+// start as too late.
+func TestAnnouncementWithoutClock(t *testing.T) {
+	h := newHarness(t, 1)
+	h.advance(2 * time.Second)
+	h.pool.UpdateWorker(h.now, worker.Record{AnnouncedAt: h.now, Announcement: worker.Announcement{
+		Worker: "w0", Incarnation: 1, Sequence: 2, Service: "s", Address: "w0", Capacity: worker.Resources{MilliCores: 16000, MemoryMB: 1000},
+	}})
+	h.pool.Submit(h.now, request("j", 1, time.Second))
+	clock := worker.Clock(time.Hour + 2*time.Second)
+	if starts := h.ordersOfKind(StartOrder); len(starts) != 1 || starts[0].Deadline <= clock {
+		t.Errorf("starts %+v at a clock reading of %s, want one with a later deadline", starts, time.Duration(clock))
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -193,7 +193,9 @@
 	w.free = w.free.Add(rec.Capacity.Sub(w.Capacity))
 	w.Record, w.announced = rec, true
 	w.resetRoomRefusals()
-	w.timing.Observe(rec.AnnouncedAt, rec.Clock)
+	if rec.Clock > 0 { // 0 stands for none
+		w.timing.Observe(rec.AnnouncedAt, rec.Clock)
+	}
 	p.poll(now, w)
 	p.scheduleTasks(now)
 }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -77,7 +77,7 @@
 	Kind          Kind             `json:"kind,omitempty"`
 	Rack          Rack             `json:"rack,omitempty"`
 	Leaving       bool             `json:"leaving,omitempty"`
-	Clock         Clock            `json:"clock"`
+	Clock         Clock            `json:"clock"` // 0 if the worker sent none
 }
 
 // Limits of what a worker says of itself. Any program may announce itself, also under the
