A worker that never replies is not queried for ever

What operators would see: a connection attempt every 150 ms, for as long as a dispatcher leads, to an address that was announced once and where no worker is. Cause: a worker that has not listed its runs is queried until it does, and pools keep workers for ever. Change: a worker that may run nothing and has neither announced itself nor replied for 30 s (probeLimit) is not queried. A dispatcher that takes over still queries all workers that it knows, however old their announcements are. Test: TestWorkerThatNeverRepliesIsQueriedForever. TestWorkersAreQueriedAtTakeover is new and passed before.

--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -31,7 +31,8 @@
 // leases on w; one without only queries its runs and ends. A query to see whether w
 // responds is a probe. One renewal is kept outstanding to each worker that may run
 // something; every worker is queried once under a new fence; workers that do not
-// reply, or whose announcements stopped, are probed.
+// reply, or whose announcements stopped, are probed. A worker that may run nothing and
+// that has neither announced itself nor replied for probeLimit is not queried.
 func (p *Pool) poll(now time.Time, w *workerState) {
 	if p.fenced || w.renewPending || w.stale || w.Address == "" {
 		return
@@ -40,6 +41,9 @@
 	if w.runsKnown && !w.busy() && !probe {
 		return
 	}
+	if !w.busy() && now.Sub(later(later(w.AnnouncedAt, w.lastReplyAt), p.startedAt)) > probeLimit {
+		return
+	}
 	if w.missedReplies > 1 && now.Sub(w.renewSentAt) < probeInterval {
 		return // the first miss may be a broken connection: one retry at once
 	}
