The test of a peer that does not read holds up a write under the race detector too

What callers and operators see: nothing; the fault is of a test. TestPeerThatDoesNotRead failed once with a call to a healthy VM that took 0.36 s, 0.25 s allowed.

Cause, as far as traced: the test filled the connection by one call of 8 MiB. The race detector checks each 8 MiB copy in one step that cannot be interrupted; a garbage collection waits for it, and calls wait for the collection. An execution trace (a call of 0.79 s) shows the reply of the healthy VM in a mark assist for 378 ms beside json.Marshal's copy. By reading, a call to a healthy VM shares nothing that waits for a stuck one: Mesh.mu guards a map lookup, Recorder.mu counters; the dial slot, the send lock, the buffer and the reader are of one connection.

Change: the connection is filled with messages of 16 KiB until a write stays in progress for 200 ms; that write must end with the write timeout. The bounds of the test are as before. TestCallsToOthersEndBeforeStuckWrite is new: calls to another VM end while a write is held up and 20 calls wait behind it; its outcome does not depend on times below seconds.

--- a/tamarackpin/internal/peer/peer_test.go
+++ b/tamarackpin/internal/peer/peer_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -103,11 +105,10 @@
 	}
 }
 
-// TestPeerThatDoesNotRead: calls to a VM whose process is frozen fill the
-// connection, and must give up soon after their time all the same; calls to others
-// go on (issue 10).
-func TestPeerThatDoesNotRead(t *testing.T) {
-	const patience, writeTime = 250 * time.Millisecond, 700 * time.Millisecond
+// besideStuckVM returns a mesh towards vm1, which serves, and vm2, which has stopped
+// reading, and a function that ends the connections of vm2.
+func besideStuckVM(t *testing.T) (m *Mesh, endStuck func()) {
+	t.Helper()
 	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
 	}}
@@ -115,7 +116,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -127,8 +128,8 @@
 			defer conn.Close()
 		}
 	}()
-	m := serveEcho(t, "vm0")
-	m.WriteTimeout, m.FailuresToRedial = writeTime, 1000 // no other rule ends the connection
+	m = serveEcho(t, "vm0")
+	m.FailuresToRedial = 1000 // no other rule than the write timeout ends the connection
 	healthy := m.Address
 	m.Address = func(id vm.ID) (string, bool) {
 		if id == "vm2" {
@@ -136,20 +137,72 @@
 		}
 		return healthy(id)
 	}
-	once := func(size int, patience time.Duration) error {
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		defer cancel()
-		_, err := Call[echoed](ctx, m, "vm2", report.UseOther, "echo", echoed{[]string{strings.Repeat("x", size)}})
-		return err
+	return m, func() { _ = l.Close() }
+}
+
+// connect opens the connection to an entry VM. A VM that is stuck stops reading with the
+// notification that this sends.
+func connect(t *testing.T, m *Mesh, to vm.ID) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(redialAfter) {
+		err := m.Notify(t.Context(), to, report.UseOther, "echo", echoed{[]string{"x"}})
+		if err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("connecting to %s: %v", to, err)
+		}
 	}
-	_ = once(1, 50*time.Millisecond) // with this one the peer stops reading
+}
+
+// callStuck makes a call to the VM that has stopped reading.
+func callStuck(m *Mesh, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := Call[echoed](ctx, m, "vm2", report.UseOther, "echo", echoed{[]string{"x"}})
+	return err
+}
+
+// fill sends notifications to the VM that has stopped reading until one does not fit: its
+// write takes longer than stuckAfter. It returns the channel on which the error of that
+// one arrives. The messages are small: the race detector checks each copy of a message
+// in one step that cannot be interrupted, a garbage collection waits for the end of that
+// step, and every call of the process for the collection (issue 25).
+func fill(m *Mesh, stuckAfter time.Duration) <-chan error {
+	const messageBytes = 16 << 10
+	var begun atomic.Int64 // the present write, in nanoseconds since 1970
+	begun.Store(time.Now().UnixNano())
+	ended := make(chan error, 1)
+	go func() {
+		message := echoed{[]string{strings.Repeat("x", messageBytes)}}
+		for {
+			begun.Store(time.Now().UnixNano())
+			if err := m.Notify(context.Background(), "vm2", report.UseOther, "echo", message); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}()
+	for time.Now().UnixNano()-begun.Load() < int64(stuckAfter) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return ended
+}
+
+// TestPeerThatDoesNotRead: calls to a VM whose process is frozen fill the
+// connection, and must give up soon after their time all the same; calls to others
+// go on (issue 10).
+func TestPeerThatDoesNotRead(t *testing.T) {
+	const patience, writeTime = 250 * time.Millisecond, 700 * time.Millisecond
+	m, _ := besideStuckVM(t)
+	m.WriteTimeout = writeTime
+	connect(t, m, "vm2")
+	filled := fill(m, 200*time.Millisecond) // holds up the others
 	var calls sync.WaitGroup
-	calls.Go(func() { _ = once(8<<20, 5*time.Second) }) // does not fit, and holds up the others
-	time.Sleep(300 * time.Millisecond)
 	for range 20 {
 		calls.Go(func() {
 			begun := time.Now()
-			err := once(1, patience)
+			err := callStuck(m, patience)
 			if took := time.Since(begun); err == nil || took > patience+writeTime+200*time.Millisecond {
 				t.Errorf("a call that was given %s returned after %s: %v", patience, took, err)
 			}
@@ -163,6 +216,44 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	calls.Wait()
+	if err := <-filled; !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the write that held up the calls ended with %v, want a timeout", err)
+	}
+}
+
+// TestCallsToOthersEndBeforeStuckWrite: calls to other VMs end while a write to a VM that
+// does not read is still held up, and calls wait behind it. Unlike the times of
+// TestPeerThatDoesNotRead the order does not depend on the load of the machine.
+func TestCallsToOthersEndBeforeStuckWrite(t *testing.T) {
+	const calls, writeTime = 20, 30 * time.Second
+	m, endStuck := besideStuckVM(t)
+	m.WriteTimeout = writeTime
+	connect(t, m, "vm1")
+	connect(t, m, "vm2")
+	filled := fill(m, 3*time.Second)
+	var waiting sync.WaitGroup
+	for range calls {
+		waiting.Go(func() { _ = callStuck(m, 10*time.Millisecond) })
+	}
+	begun := time.Now()
+	for range calls {
+		if _, err := Call[echoed](t.Context(), m, "vm1", report.UseOther, "echo", echoed{[]string{"a"}}); err != nil {
+			t.Errorf("a call to another VM: %v", err)
+		}
+	}
+	if took := time.Since(begun); took > writeTime/2 {
+		t.Errorf("%d calls to another VM took %s, beside a write that is held up for %s", calls, took, writeTime)
+	}
+	select {
+	case err := <-filled:
+		t.Fatalf("the write that is held up ended before the calls to another VM: %v", err)
+	default:
+	}
+	endStuck()
+	waiting.Wait()
+	if err := <-filled; errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the write ended with %v, want an ended connection", err)
+	}
 }
 
 // stuck answers the hello and then stops reading.
