A change that no leader takes in is refused, not unsure

What callers and operators see: a change of the table through an entry VM of a cut-off failure domain is answered 503 table_outcome_unsure after 5.01 s, "calling control.propose of vm0: context deadline exceeded", where docs/OPERATORS.md says table_unavailable (not run).

Cause: Controller.Propose asks members every 50 ms who leads, until its 5 s are over, and each call was bounded by what was left of them. A call that began shortly before the end was broken off, and a call without an answer is unsure, although all members had answered that they do not lead. The connection was whole and no call hung: the longer the answers take, as on a loaded machine, the more often the end falls into one.

Change: a leader is looked for during searchTimeout, which is callTimeout (1 s) less than proposeTimeout, so that the last member that is asked has 1 s for its answer. Where no leader is found the refusal comes after 4 s instead of 5 s.

--- a/tamarackpin/internal/controller/controller.go
+++ b/tamarackpin/internal/controller/controller.go
@@ -25,7 +25,10 @@
 const (
 	callTimeout    = time.Second
 	proposeTimeout = 5 * time.Second
-	retryEvery     = 50 * time.Millisecond
+	// searchTimeout leaves the last member that is asked callTimeout for its answer: a
+	// call that is broken off has an unsure outcome, where a refusal would be true.
+	searchTimeout = proposeTimeout - callTimeout
+	retryEvery    = 50 * time.Millisecond
 )
 
 // The methods between entry VMs.
--- a/tamarackpin/internal/controller/propose.go
+++ b/tamarackpin/internal/controller/propose.go
@@ -29,11 +29,13 @@
 	Leader vm.ID          `json:"leader,omitempty"`
 }
 
-// Propose has the quorum decide about c. Until its time runs out it looks for
-// the leader; once a leader took the command in, it is not proposed again.
+// Propose has the quorum decide about c. It looks for the leader for searchTimeout;
+// once a leader took the command in, it is not proposed again.
 func (k *Controller) Propose(ctx context.Context, c control.Command) (control.Result, *code.Error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	search, stop := context.WithTimeout(ctx, searchTimeout)
+	defer stop()
 	next := 0
 	for {
 		to := k.mayLead(next)
@@ -50,10 +52,12 @@
 			next = 0
 		}
 		select {
-		case <-ctx.Done():
-			return control.Result{}, code.New(code.TableUnavailable, "no leader of the control quorum was found within %s", proposeTimeout)
+		case <-search.Done():
 		case <-time.After(retryEvery):
 		}
+		if search.Err() != nil {
+			return control.Result{}, code.New(code.TableUnavailable, "no leader of the control quorum was found within %s", searchTimeout)
+		}
 	}
 }
 
