A run that may have been stopped proves no crash

A loss is now unproven if a stop was sent, unless the host had refused connections before it was: then the worker had crashed already. Orphan runs are unproven once they are stopped.

The statistic counts each innocent job once. Counting the loss as unproven for any stop that was sent, tried first, let TestResubmittedDeadlyJobIsNotStarted crash three workers instead of two.

--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -9,7 +9,7 @@
 const (
 	Silent    Evidence = "silent"    // it sent no reply until its leases had lapsed: it crashed, is cut off or paused
 	Refused   Evidence = "refused"   // the same, and its host refused connections: no process listened
-	Unproven  Evidence = "unproven"  // it has ended, but the task may not have been running there: its start was not acknowledged, or its lease had lapsed before
+	Unproven  Evidence = "unproven"  // it has ended, but the task may not have been running there: its start was not acknowledged, a stop was sent, or its lease had lapsed before
 	Restarted Evidence = "restarted" // a later incarnation was seen while the task had a lease
 	Survived  Evidence = "survived"  // the same incarnation replied later, so it had not crashed
 )
--- a/internal/pool/crash_schedule_test.go
+++ b/internal/pool/crash_schedule_test.go
@@ -26,7 +26,8 @@
 	lostUnder    map[job.Task]int // workers that crashed while they ran the task
 	failing      bool             // some tasks always fail
 	listedFailed map[job.Task]map[listedEnd]bool
-	calledFailed error            // of the first job that was called failed without cause
+	calledFailed error // of the first job that was called failed without cause
+	givenUp      map[job.ID]bool
 	startsAfter  map[job.Task]int // starts of deadly tasks after they crashed maxCrashedWorkers workers, without late ones
 	overBudget   error            // of the first deadly task that was started too often
 }
@@ -57,7 +58,7 @@
 	return &hazards{
 		r: rand.New(rand.NewPCG(seed, 3)), latePercent: latePercent, dueCrashes: make(map[time.Time][]*simWorker),
 		resubmits: make(map[time.Time][]job.ID), lostUnder: make(map[job.Task]int), listedFailed: make(map[job.Task]map[listedEnd]bool),
-		startsAfter: make(map[job.Task]int),
+		givenUp: make(map[job.ID]bool), startsAfter: make(map[job.Task]int),
 	}
 }
 
@@ -159,9 +160,10 @@
 	case job.Abandoned:
 		if a.Reason == reasonCrashes || a.Reason == reasonLosses {
 			sim.stats["given up"]++
-			if !isDeadly(job.Task{Job: a.Job}) {
-				sim.stats["innocents given up"]++
+			if !h.givenUp[a.Job] && !isDeadly(job.Task{Job: a.Job}) {
+				sim.stats["innocent jobs given up"]++
 			}
+			h.givenUp[a.Job] = true
 		}
 		if h.r.IntN(maxResubmits+1) > 0 {
 			at := sim.now.Add(resubmitDelay)
--- a/internal/pool/crashes.go
+++ b/internal/pool/crashes.go
@@ -14,7 +14,7 @@
 	if !t.stopAckedAt.IsZero() {
 		return
 	}
-	if t.ackedAt.IsZero() {
+	if t.ackedAt.IsZero() || t.mayHaveStopped {
 		e = crash.Unproven
 	}
 	p.addLoss(now, w, t.name, e)
@@ -22,6 +22,9 @@
 
 // recordOrphanLosses records that w was lost with its orphan runs.
 func (p *Pool) recordOrphanLosses(now time.Time, w *workerState, e crash.Evidence) {
+	if p.stopsOrphans(now) {
+		e = crash.Unproven
+	}
 	for name := range w.orphans {
 		p.addLoss(now, w, name, e)
 	}
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -143,7 +143,7 @@
 		}
 	}
 	for name, run := range w.orphans {
-		if now.Sub(p.startedAt) > orphanGrace || p.newlyDivided(now) || p.assignment(name) != nil {
+		if p.stopsOrphans(now) || p.assignment(name) != nil {
 			p.enqueueOrder(now, w, Order{Kind: StopOrder, Task: name, Run: run})
 		}
 	}
@@ -168,6 +168,11 @@
 	return nil
 }
 
+// stopsOrphans reports whether orphan runs are stopped rather than left for their jobs.
+func (p *Pool) stopsOrphans(now time.Time) bool {
+	return now.Sub(p.startedAt) > orphanGrace || p.newlyDivided(now)
+}
+
 // handleEnd processes the end of a run on w; ends of superseded runs are ignored. The
 // task is done or waits again, and the job is answered if all its tasks are done or
 // this one has failed MaxAttempts times.
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -183,6 +183,7 @@
 // sendStop orders the current run of t to be stopped, and notes when.
 func (p *Pool) sendStop(now time.Time, t *task) {
 	t.stopSentAt = now
+	t.mayHaveStopped = t.mayHaveStopped || t.worker.lapseEvidence(t.orderedAt) != crash.Refused
 	p.enqueueOrder(now, t.worker, Order{Kind: StopOrder, Task: t.name, Run: t.run})
 }
 
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -45,13 +45,14 @@
 	lapsesAt       time.Time // latest time at which a run of the current start may still execute, if it is never acknowledged
 	stoppingSince  time.Time // when the first stop of the current run was ordered
 	stopSentAt     time.Time // when the newest stop was ordered
+	mayHaveStopped bool      // a stop was sent while nothing showed that its worker had crashed
 	stopAckedAt    time.Time // when the worker acknowledged a stop; zero before
 }
 
 // beginRun forgets what is known of the previous run of t.
 func (t *task) beginRun(orderedAt time.Time, run job.Run) {
 	t.run, t.orderedAt, t.startSentAt = run, orderedAt, orderedAt
-	t.percent, t.progressAt, t.startInherited = 0, orderedAt, false
+	t.percent, t.progressAt, t.startInherited, t.mayHaveStopped = 0, orderedAt, false, false
 	t.ackedAt, t.lapsesAt, t.stoppingSince, t.stopSentAt, t.stopAckedAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}, time.Time{}
 }
 
