Commands that wait after a pause order nothing before the VM steps down

What it could cause: a process that was paused finds commands in its queue when it goes on. It executed them, and sent the orders that followed, before the next tick noticed the pause and had it step down. Workers that know the successor's fence refuse such orders; one that has restarted meanwhile knows none. Cause: only a tick checked for a pause, and orders were sent before the loss of the leadership was looked at. Change: after a pause a tick precedes the next command, and a pool whose leadership is lost sends no orders.

--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -31,10 +31,10 @@
 	// waits before it claims nevertheless: the spread of the starts after a loss of all
 	// power, and the time until control VMs are reached.
 	noContactClaimDelay = 2 * time.Second
-	// maxTickGap is the longest time between two Ticks after which a process still
+	// MaxTickGap is the longest time between two Ticks after which a process still
 	// trusts its state. After a longer pause its claim may have been replaced: the
 	// gap exceeds the shortest lease.
-	maxTickGap = 500 * time.Millisecond
+	MaxTickGap = 500 * time.Millisecond
 	// maxTickDelay is the longest usual time between two Ticks. What exceeds it is time in
 	// which this process did not run and could not read heartbeats either.
 	maxTickDelay = 100 * time.Millisecond
@@ -192,12 +192,12 @@
 // Tick decides whether this process claims leadership now, and returns its claim
 // if it does. controlReplyAt is when a control VM last answered.
 //
-// A process that was paused for longer than maxTickGap steps down and listens
+// A process that was paused for longer than MaxTickGap steps down and listens
 // again before it claims. A process without contact to any other VM is probably
 // partitioned itself: it steps down before another leader starts tasks that it
 // may run, and does not take over from a leader that may be alive.
 func (l *Leadership) Tick(now, controlReplyAt time.Time, o OtherGroups) (claim Claim, claimed bool) {
-	paused := now.Sub(l.lastTick) > maxTickGap
+	paused := now.Sub(l.lastTick) > MaxTickGap
 	l.excuseSilence(now, now.Sub(l.lastTick)-maxTickDelay)
 	l.lastTick = now
 	if controlReplyAt.After(l.lastContact) {
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -100,7 +100,8 @@
 	dividedAt        time.Time // when this process adopted the division; zero before the first
 	divider          lead.Divider
 	groups           []*groupState // by group of the division
-	workersUpdatedAt time.Time     // when the pools last received the workers
+	tickedAt         time.Time
+	workersUpdatedAt time.Time // when the pools last received the workers
 	earlyWithdrawals withdrawals
 	crashes          crash.Log     // of the tasks of all groups
 	lateStarts       latestart.Log // of the tasks of all groups
@@ -158,7 +159,7 @@
 			}
 			return
 		case c := <-g.ring.Out():
-			g.contain("a command", c)
+			g.runCommand(c)
 			g.runQueued()
 		case <-tick.C:
 			g.contain("a tick", (*Group).tick)
@@ -182,6 +183,15 @@
 	return slices.ContainsFunc(g.groups, func(s *groupState) bool { return s.pool != nil })
 }
 
+// runCommand executes a command. If this process was paused, a tick comes first: it may have
+// been replaced meanwhile, and steps down.
+func (g *Group) runCommand(c command) {
+	if !g.tickedAt.IsZero() && time.Since(g.tickedAt) > lead.MaxTickGap {
+		g.contain("a tick", (*Group).tick)
+	}
+	g.contain("a command", c)
+}
+
 // runQueued executes the commands that are queued already, so that orders are sent only
 // after all of them have been considered. It returns after maxBatchTime, so that ticks are
 // not late when the dispatcher is behind: a leader whose ticks stop steps down.
@@ -197,6 +207,7 @@
 }
 
 func (g *Group) tick(now time.Time) {
+	g.tickedAt = now
 	if d := g.config.Knowledge.Division(g.self.FailureDomain); d.Epoch > g.division.Epoch {
 		g.applyDivision(now, d) // the one that a control VM has stored
 	}
@@ -260,9 +271,13 @@
 	g.publish(now)
 }
 
-// flush sends the pending orders and answers of a pool.
+// flush sends the pending orders and answers of a pool. One whose leadership was lost orders
+// nothing more.
 func (g *Group) flush(ctx context.Context, s *groupState) {
 	orders, answers := s.pool.TakePending()
+	if !s.leadership.IsLeader() {
+		orders = nil
+	}
 	for _, o := range orders {
 		g.calls.Go(func() { g.sendOrder(ctx, o) })
 	}
--- a/tamarackpin/internal/group/withdrawals.go
+++ b/tamarackpin/internal/group/withdrawals.go
@@ -7,7 +7,7 @@
 
 // earlyWithdrawalTTL is how long a withdrawal that arrived before its job is kept: longer
 // than a leader can pause without losing its leadership. After a pause of more than 500 ms
-// (maxTickGap of package lead) it steps down and its pool is dropped.
+// (MaxTickGap of package lead) it steps down and its pool is dropped.
 const earlyWithdrawalTTL = 5 * time.Second
 
 // withdrawals holds the withdrawals that arrived before their jobs. A call and the
