--- a/internal/pool/crash_schedule_test.go
+++ b/internal/pool/crash_schedule_test.go
@@ -243,7 +243,7 @@
 // TestLateStartBesideRunElsewhere: a start without a reply is carried out by the next
 // incarnation of its worker while the task runs on another one.
 func TestLateStartBesideRunElsewhere(t *testing.T) {
-	hazardSchedules(t, []uint64{1025, 1048, 1083, 1124, 1125, 1161, 1166, 1168, 1210}, false, func(_ *simulation, err error) error { return err })
+	hazardSchedules(t, []uint64{1009, 1025, 1048, 1083, 1093, 1118, 1124, 1125, 1161, 1166, 1168, 1206, 1210, 1226, 1713}, false, func(_ *simulation, err error) error { return err })
 }
 
 // TestForgottenLateStartsAreDetected shows that the schedules with hazards fail if dispatchers
