Leases on a worker with orphan runs are not extended

What it could cause: after a takeover a worker has an orphan, of a job that another failure domain had offloaded, beside a run that was adopted. For the sake of that the leases of both were extended, for 0.85 s or until the stops of the orphan were answered, past the 1.3 s after which the orphan's caller submits its job in its own failure domain. Change: no lease is extended while the worker has an orphan. After a loss the leases have nearly lapsed when the successor takes over; after a planned handover gates forward all jobs within milliseconds. Test: TestOrphanBesideAdoptedRunIsNotExtended failed before (extended 10 ms after the takeover). Found by reading.

--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -60,11 +60,11 @@
 	p.enqueueOrder(now, w, o)
 }
 
-// leasesMustLapse reports whether a run on w has not stopped in spite of its orders. A
-// deadline extends the leases of all runs there, and the caller of a job that was given up may
-// submit it in another failure domain, which knows nothing of this run.
+// leasesMustLapse reports whether w has a run that no gate waits for here, or one that has not
+// stopped in spite of its orders. A deadline extends the leases of all runs there, and the
+// caller of such a job may submit it in another failure domain, which knows nothing of the run.
 func (p *Pool) leasesMustLapse(now time.Time, w *workerState) bool {
-	if len(w.orphans) > 0 && now.Sub(p.startedAt) > orphanGrace+stopPatience {
+	if len(w.orphans) > 0 {
 		return true
 	}
 	for _, t := range w.tasks {
--- a/internal/pool/unstopped_test.go
+++ b/internal/pool/unstopped_test.go
@@ -69,6 +69,36 @@
 	t.Error("the orphan is never stopped")
 }
 
+// TestOrphanBesideAdoptedRunIsNotExtended: the worker of an orphan has a run that was adopted, too. The
+// leases of both were extended for the sake of that, as long as the stops of the orphan got no reply.
+func TestOrphanBesideAdoptedRunIsNotExtended(t *testing.T) {
+	h := newHarness(t, 1)
+	h.pool = New(h.now, Config{Fence: 2, LeaseMax: time.Second, StopMax: 50 * time.Millisecond})
+	h.announce("w0", 1)
+	r := request("adopted", 1, time.Second)
+	r.RemainingWait, r.MayBeRunning = 30*time.Second, true
+	h.pool.Submit(h.now, r)
+	takenOverAt, orphan := h.now, RunningTask{Task: job.Task{Job: "offloaded"}, Run: 1}
+	for range 200 {
+		orders, _ := h.takePending()
+		for _, o := range orders {
+			if o.Deadline != 0 {
+				t.Fatalf("the lease of an orphan is extended %s after the takeover", h.now.Sub(takenOverAt))
+			}
+			switch o.Kind {
+			case StopOrder:
+				h.reply(o, Reply{})
+			case RenewOrder:
+				h.reply(o, Reply{Done: true, Running: []RunningTask{{Task: job.Task{Job: "adopted"}, Run: 1, Percent: int(h.now.Sub(takenOverAt).Milliseconds() / 25)}, orphan}})
+			}
+		}
+		h.advance(10 * time.Millisecond)
+	}
+	if h.pool.workers["w0"].tasks[job.Task{Job: "adopted"}] == nil {
+		t.Error("the run of the forwarded job was not adopted")
+	}
+}
+
 // TestAdoptedRunNeedsItsOwnStop: a run is adopted after an earlier one of the same task was
 // stopped. The acknowledgement of that stop counted for the adopted run, so that its task
 // started elsewhere beside it.
