A VM that is cut off from the control VMs may lack workers

Cause: a dispatcher that takes over waits for the lists of the workers that it knows. One that is cut off from the control VMs does not know those that announced themselves since, on which its predecessor may have started tasks, and started them again as soon as all others had listed their runs. Where tasks crash their workers, names change every second. Change: a VM without news of workers for 1 s may lack some: forwarded jobs wait for their old leases then, and it fetches the workers from a neighbour that has news. A worker whose incarnation is known to have ended is not waited for. Tests: TestVMBehindACutAsksOneThatKnowsAllWorkers and TestForwardedJobDoesNotWaitForEndedWorker failed before (the first does not compile there; with the old rule it counts on knowing all). TestFreshVMAsksOneThatKnowsAllWorkers had no control VM that ever replied; it records a reply now, since without any a VM may lack workers.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,8 +50,8 @@
 	// groups anew (a division, see lead.Division); zero if never. Tasks started
 	// before may be running on workers that now belong to other groups.
 	DividedAt time.Time
-	// WorkersIncomplete reports that the process has just started and may not
-	// know all workers yet.
+	// WorkersIncomplete reports that the process has just started, or has not heard
+	// from a control VM lately, and may not know all workers.
 	WorkersIncomplete bool
 	// Crashes has the workers that were lost under tasks, also under earlier
 	// dispatchers; nil means none. The Pool adds to it.
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -119,8 +119,8 @@
 }
 
 // mayStart reports whether tasks of j may start. A job that may be running
-// elsewhere waits until every worker has listed its runs, or until
-// awaitListsUntil.
+// elsewhere waits until every worker has listed its runs, unless its incarnation is known to
+// have ended, or until awaitListsUntil.
 func (p *Pool) mayStart(now time.Time, j *jobState) bool {
 	if now.Before(j.earliestStart) {
 		return false
@@ -132,7 +132,7 @@
 		return false // it may be running on an unknown worker
 	}
 	for _, w := range p.byID {
-		if !w.runsKnown && !w.Deregistered {
+		if !w.runsKnown && !w.Deregistered && !w.stale {
 			return false
 		}
 	}
--- a/internal/pool/unstopped_test.go
+++ b/internal/pool/unstopped_test.go
@@ -176,3 +176,20 @@
 		t.Errorf("phase %d, %d stalls; want the adopted run to go on", h.pool.jobs["a"].tasks[0].phase, stalls)
 	}
 }
+
+// TestForwardedJobDoesNotWaitForEndedWorker: a worker that crashed is known under its old name, at an
+// address where another one refuses its orders. Forwarded jobs waited 1.5 s for its list.
+func TestForwardedJobDoesNotWaitForEndedWorker(t *testing.T) {
+	h := newHarness(t, 1)
+	h.announce("ended", 1)
+	for _, o := range h.ordersOfKind(RenewOrder) {
+		h.reply(o, Reply{Refusal: RefusedIncarnation})
+	}
+	r := patientRequest(time.Second)
+	r.MayBeRunning = true
+	h.pool.Submit(h.now, r)
+	h.advance(10 * time.Millisecond)
+	if starts := h.ordersOfKind(StartOrder); len(starts) != 1 {
+		t.Errorf("%d starts once all other workers have listed their runs, want 1", len(starts))
+	}
+}
--- a/tamarackpin/internal/fleet/syncer.go
+++ b/tamarackpin/internal/fleet/syncer.go
@@ -135,7 +135,7 @@
 			unreachable = false
 		}
 		now := time.Now()
-		s.lastContact.Store(&now)
+		s.RecordContact(now)
 		s.Knowledge.merge(now, reply)
 		s.TableAnnounced(ctx, id, reply.Version)
 		req.CursorIncarnation, req.VMCursor, req.WorkerCursor = reply.Self.Incarnation, reply.VMCursor, reply.WorkerCursor
@@ -156,6 +156,9 @@
 	return defaultSyncWait
 }
 
+// RecordContact records that a control VM replied.
+func (s *Syncer) RecordContact(at time.Time) { s.lastContact.Store(&at) }
+
 // LastContact returns when a control VM last replied, or the zero time.
 func (s *Syncer) LastContact() time.Time {
 	if at := s.lastContact.Load(); at != nil {
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -38,11 +38,22 @@
 	}
 }
 
+// maxWorkerNewsAge is how long after the last news of workers a VM counts on knowing all of
+// them: longer than a control VM without news delays its reply (0.8 s).
+const maxWorkerNewsAge = time.Second
+
 // workersIncomplete reports whether workers may exist that this process does not know:
 // a worker announces itself to one control VM only, which may have restarted as well.
-// After AnnouncementTimeout every live worker has announced itself again.
+// After AnnouncementTimeout every live worker has announced itself again. A VM that is cut off
+// from the control VMs does not know the workers that started since, on which other
+// dispatchers may start tasks, unless it gets them from a neighbour.
 func (g *Group) workersIncomplete(now time.Time) bool {
-	return !g.workersComplete.Load() && now.Sub(g.startedAt) < worker.AnnouncementTimeout
+	newsAt := g.config.Syncer.LastContact()
+	if at := g.workersCompleteAt.Load(); at != nil && at.After(newsAt) {
+		newsAt = *at
+	}
+	justStarted := g.workersCompleteAt.Load() == nil && now.Sub(g.startedAt) < worker.AnnouncementTimeout
+	return justStarted || !newsAt.IsZero() && now.Sub(newsAt) > maxWorkerNewsAge
 }
 
 // redivide changes the number of groups if there are too many or too few workers for
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -189,7 +189,7 @@
 	}
 	defer g.syncing.Store(false)
 	if g.config.Syncer.FetchFrom(ctx, hb.Self.VM) && canCompleteWorkers {
-		g.workersComplete.Store(true)
+		g.workersCompleteAt.Store(&now)
 	}
 }
 
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -81,11 +81,11 @@
 	pingMu    sync.Mutex // guards lastPings
 	lastPings map[vm.ID]time.Time
 
-	// startedAt is when the process started; workersComplete is set once the workers were
-	// fetched from a VM that knows all of them.
-	startedAt       time.Time
-	workersComplete atomic.Bool
-	syncing         atomic.Bool // a sync caused by a heartbeat is running
+	// startedAt is when the process started; workersCompleteAt is when the workers were last
+	// fetched from a VM that knows all of them, nil if never.
+	startedAt         time.Time
+	workersCompleteAt atomic.Pointer[time.Time]
+	syncing           atomic.Bool // a sync caused by a heartbeat is running
 
 	exchangeMu    sync.Mutex // guards lastExchanges
 	lastExchanges map[vm.ID]time.Time
--- a/tamarackpin/internal/group/partial_test.go
+++ b/tamarackpin/internal/group/partial_test.go
@@ -63,7 +63,29 @@
 	if workers, _ := freshKnowledge.Workers("a", 0); fresh.workersIncomplete(now) || len(workers) != 1 {
 		t.Errorf("after fetching from the old VM: may lack workers: %v, knows %d", fresh.workersIncomplete(now), len(workers))
 	}
-	if later := now.Add(worker.AnnouncementTimeout); fresh.workersIncomplete(later) {
+	later := now.Add(worker.AnnouncementTimeout)
+	fresh.config.Syncer.RecordContact(later)
+	if fresh.workersIncomplete(later) {
 		t.Error("may lack workers, although all had time to announce themselves")
 	}
 }
+
+// TestVMBehindACutAsksOneThatKnowsAllWorkers guards against a dispatcher that is cut off from the
+// control VMs and takes the workers that it knew before for all: its predecessor may have started
+// tasks on workers that announced themselves since, and those tasks started again.
+func TestVMBehindACutAsksOneThatKnowsAllWorkers(t *testing.T) {
+	now := time.Now()
+	cutOff, _, _ := newTestGroup("ip-0a000001", now.Add(-time.Minute), nil)
+	cutOff.config.Syncer.RecordContact(now)
+	if cutOff.workersIncomplete(now.Add(maxWorkerNewsAge)) {
+		t.Error("may lack workers, although a control VM replied lately")
+	}
+	if !cutOff.workersIncomplete(now.Add(2 * maxWorkerNewsAge)) {
+		t.Errorf("counts on knowing all workers %s after the last reply of a control VM", 2*maxWorkerNewsAge)
+	}
+	at := now.Add(2 * maxWorkerNewsAge)
+	cutOff.workersCompleteAt.Store(&at) // fetched from a neighbour
+	if cutOff.workersIncomplete(at) || !cutOff.workersIncomplete(at.Add(2*maxWorkerNewsAge)) {
+		t.Error("a fetch from a neighbour counts for another time than a reply of a control VM")
+	}
+}
