--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -124,7 +124,7 @@
 	{LeaderFollowed, zapcore.InfoLevel, "dispatcher followed", "This entry VM takes another VM, or none, for the dispatcher of a group from now on."},
 	{OffloadSilent, zapcore.WarnLevel, "VM with offloaded jobs silent", "A VM that runs offloaded jobs of this VM's callers replied to no ping for `timeout`; the jobs are given up (504). It has withdrawn them by then."},
 	{WorkerLost, zapcore.WarnLevel, "worker lost under a task", "The worker was lost with this task; `evidence` tells whether it crashed (refused: its host refuses connections; restarted: a later incarnation was seen), was only silent (survived), or neither is known yet (silent). Many lines for one task say that it crashes its workers; many tasks on one worker, that the worker is at fault."},
-	{StartUnanswered, zapcore.WarnLevel, "start without a reply", "The worker may carry it out until 13 s after it was sent, in this incarnation or a later one of its name; the task starts on no other worker before."},
+	{StartUnanswered, zapcore.WarnLevel, "start without a reply", "The worker may carry it out until 13.5 s after it was sent, in this incarnation or a later one of its name; the task starts on no other worker before."},
 	{RunFound, zapcore.WarnLevel, "run found that was not ordered", "The worker lists a run that this dispatcher did not order there: one of the dispatcher before, or a late start. With `assigned_to` the task is on another worker as well: look for event 816 of the task, and at the incarnation. Report it."},
 }
 
--- a/internal/latestart/log.go
+++ b/internal/latestart/log.go
@@ -170,8 +170,8 @@
 	l.remove(e)
 }
 
-// Forget drops the starts on a worker, of which another worker at its address is known to
-// refuse all.
+// Forget drops the starts that were sent to a worker whose address another worker has now:
+// that one refuses them.
 func (l *Log) Forget(id worker.ID) {
 	for _, e := range l.workers[id] {
 		l.remove(e)
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -42,7 +42,7 @@
 // gets an [Answer] instead.
 type Refusal string
 
-// The refusals. After any of them nothing was done and nothing will be.
+// The refusals. After any of them nothing was done for this order, and nothing will be.
 const (
 	RefusedFence       Refusal = "fence"       // the worker has seen a higher fence
 	RefusedOld         Refusal = "old"         // the worker has seen this run of the task, or a later one
