--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -21,8 +21,6 @@
 	Labels                  []string
 	Cpu, MemMb              int
 	Guards                  bool // it refuses what does not fit
-	// FirstBeat is the time from the start of an incarnation to its first heartbeat.
-	FirstBeat time.Duration
 	Controls  func() []string
 	OnStart   func(r *Runner, s Start) // called with each start of a task
 	OnEnd     func(r *Runner, task string, run int, how string)
@@ -379,7 +377,6 @@
 // does not acknowledge within a second is followed by the next one.
 func (l *life) heartbeats() {
 	client := &http.Client{Timeout: time.Second}
-	time.Sleep(l.r.FirstBeat)
 	for {
 		controls := l.r.Controls()
 		first := rand.IntN(len(controls))
