review: a script for the task that runs twice after a handover

Disruption: the answers to two calls to a runner are lost right after a planned handover of the dispatcher.

--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -21,9 +21,13 @@
 	Labels                  []string
 	Cpu, MemMb              int
 	Guards                  bool // it refuses what does not fit
-	Controls  func() []string
-	OnStart   func(r *Runner, s Start) // called with each start of a task
-	OnEnd     func(r *Runner, task string, run int, how string)
+	Controls                func() []string
+	// Fate decides what becomes of an order: it is carried out and answered, its answer is
+	// lost, or it gets no answer and is carried out after a delay. nil answers all.
+	Fate    func(path string, fence int64) (lost bool, delay time.Duration)
+	OnStart func(r *Runner, s Start)               // called with each start of a task
+	OnOver  func(r *Runner, task string, used int) // a start beyond the capacity
+	OnEnd   func(r *Runner, task string, run int, how string)
 
 	record   *Record
 	life     *life
@@ -186,6 +190,17 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if l.r.Fate != nil {
+			if lost, delay := l.r.Fate(req.URL.Path, o.Fence); lost || delay > 0 {
+				if delay > 0 {
+					time.AfterFunc(delay, func() { l.late(req.URL.Path, o) })
+					time.Sleep(time.Second) // no answer
+				} else {
+					f(o)
+				}
+				panic(http.ErrAbortHandler)
+			}
+		}
 		status, body := f(o)
 		l.mu.Lock()
 		body["ClockMs"], body["born"] = l.clock(), l.born
@@ -200,6 +215,29 @@
 	}
 }
 
+// late carries out an order that got no answer, by the incarnation that is there then.
+func (l *life) late(path string, o orderBody) {
+	l.r.lifetime.Lock()
+	now := l.r.life
+	l.r.lifetime.Unlock()
+	if now == nil {
+		return
+	}
+	status := 0
+	switch path {
+	case "/api/run-start":
+		status, _ = now.start(o)
+	case "/api/run-stop":
+		status, _ = now.stop(o)
+	case "/api/hold":
+		o.WaitMs = 0
+		status, _ = now.hold(o)
+	}
+	if path == "/api/run-start" && status == http.StatusOK {
+		l.r.record.Printf("runner %s: late start of %s run %d", l.r.ID, o.Task, o.Run)
+	}
+}
+
 // checkFence reports whether an order with this fence is obeyed. l.mu is held.
 func (l *life) checkFence(fence int64) bool {
 	if fence < l.fence {
@@ -244,6 +282,15 @@
 			return refusal("room")
 		}
 	}
+	if !l.r.Guards && l.r.OnOver != nil {
+		used := cpu
+		for _, other := range l.running {
+			used += other.cpu
+		}
+		if used > l.r.Cpu {
+			l.r.OnOver(l.r, o.Task, used)
+		}
+	}
 	x := &execution{run: o.Run, began: time.Now(), work: work, cpu: cpu, mem: mem}
 	l.running[o.Task] = x
 	x.timer = time.AfterFunc(work, func() { l.finish(o.Task, x, "done") })
