--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -27,6 +27,7 @@
 	Fate    func(path string, fence int64) (lost bool, delay time.Duration)
 	OnStart func(r *Runner, s Start)               // called with each start of a task
 	OnOver  func(r *Runner, task string, used int) // a start beyond the capacity
+	OnDrain func(r *Runner)                        // draining was acknowledged
 	OnEnd   func(r *Runner, task string, run int, how string)
 
 	record   *Record
@@ -463,6 +464,9 @@
 	_, _ = io.Copy(io.Discard, resp.Body)
 	if state == "draining" && resp.StatusCode == http.StatusOK {
 		l.r.record.Printf("runner %s: draining acknowledged by %s", l.r.ID, control)
+		if l.r.OnDrain != nil {
+			l.r.OnDrain(l.r)
+		}
 	}
 	return resp.StatusCode/100 == 2
 }
