review: tasks start on a runner that leaves, after its clock was set back

Disruptions: the time of day of a runner's machine jumps back by 2 s, and the runner crashes and starts again under its id.

--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -25,10 +25,12 @@
 	// Fate decides what becomes of an order: it is carried out and answered, its answer is
 	// lost, or it gets no answer and is carried out after a delay. nil answers all.
 	Fate    func(path string, fence int64) (lost bool, delay time.Duration)
-	OnStart func(r *Runner, s Start)               // called with each start of a task
-	OnOver  func(r *Runner, task string, used int) // a start beyond the capacity
-	OnDrain func(r *Runner)                        // draining was acknowledged
-	OnEnd   func(r *Runner, task string, run int, how string)
+	OnStart func(r *Runner, s Start) // called with each start of a task
+	// ClockAhead is by how much the time of day of its machine is ahead.
+	ClockAhead time.Duration
+	OnOver     func(r *Runner, task string, used int) // a start beyond the capacity
+	OnDrain    func(r *Runner)                        // draining was acknowledged
+	OnEnd      func(r *Runner, task string, run int, how string)
 
 	record   *Record
 	life     *life
@@ -102,7 +104,7 @@
 // Begin starts an incarnation: it listens, and then announces itself at once.
 func (r *Runner) Begin() {
 	l := &life{
-		r: r, born: time.Now().UnixMilli(), began: time.Now(), labels: append([]string(nil), r.Labels...), stopped: make(chan struct{}),
+		r: r, born: time.Now().Add(r.ClockAhead).UnixMilli(), began: time.Now(), labels: append([]string(nil), r.Labels...), stopped: make(chan struct{}),
 		running: make(map[string]*execution), past: make(map[string]int), wake: make(chan struct{}), state: "ready",
 	}
 	mux := http.NewServeMux()
