--- a/review/cases/kind/main.go
+++ b/review/cases/kind/main.go
@@ -1,5 +1,6 @@
-// Command kind crashes runners of kind "a" and starts them again under their ids, at their
-// addresses, as runners of kind "b", while jobs come that require the label "a".
+// Command kind crashes runners, three at a time, and starts them again under their ids, at their
+// addresses, as runners of the other of two kinds, while jobs come that require the label of one
+// kind or the other.
 package main
 
 import (
@@ -16,8 +17,8 @@
 	runnersOfA = 12
 	crashed    = 3                     // of them, at a time: srv_crash names a share of 0.15
 	downFor    = 4 * time.Second       // as srv_crash in the site files
-	rounds     = 3                     // of crashes, one after the other
-	roundEvery = 8 * time.Second       //
+	rounds     = 12                    // of crashes, one after the other
+	roundEvery = 7 * time.Second       // from one crash to the next
 	jobEvery   = 17 * time.Millisecond // two tasks of 200 ms each
 	work       = "work 200 cpu 6800"   // of a task
 	deadline   = 1500 * time.Millisecond
@@ -38,14 +39,15 @@
 		mu.Lock()
 		defer mu.Unlock()
 		starts++
-		if slices.Contains(s.Labels, "a") {
+		want := s.Spec[len("want "):][:1]
+		if slices.Contains(s.Labels, want) {
 			return
 		}
 		wrong++
 		if s.Told > 0 {
 			told++
 		}
-		record.Printf("ROUTE: %s needs the label a and starts on %s, born %d, with the labels %v, which said born %d first %d ms before", s.Task, r.ID, s.Born, s.Labels, s.Born, s.Told.Milliseconds())
+		record.Printf("ROUTE: %s needs the label %s and starts on %s, born %d, with the labels %v, which said born %d first %d ms before", s.Task, want, r.ID, s.Born, s.Labels, s.Born, s.Told.Milliseconds())
 	}
 	var runners []*standin.Runner
 	for i := range runnersOfA {
@@ -83,7 +85,8 @@
 			clients.Add(1)
 			go func() {
 				defer clients.Done()
-				job := standin.Job{Spec: work, BestEffort: true, Phases: []standin.Phase{{Count: 2, Cpu: 6800, MemMb: 64, EstimateMs: 200, RequiredLabel: "a"}}}
+				want := []string{"a", "b"}[i/2%2]
+				job := standin.Job{Spec: "want " + want + " " + work, BestEffort: true, Phases: []standin.Phase{{Count: 2, Cpu: 6800, MemMb: 64, EstimateMs: 200, RequiredLabel: want}}}
 				a := d.Submit(d.Fronts[i%2], route, standin.NewID(), job, deadline)
 				mu.Lock()
 				answers[a.Status]++
@@ -95,12 +98,13 @@
 	for round := range rounds {
 		began := time.Now()
 		if standin.Trouble() {
-			for _, r := range runners[round*crashed : (round+1)*crashed] {
+			first := round * crashed % runnersOfA
+			for _, r := range runners[first : first+crashed] {
 				r.Crash()
 			}
 			time.Sleep(downFor)
-			for _, r := range runners[round*crashed : (round+1)*crashed] {
-				r.Labels = []string{"b", "r1-1"}
+			for _, r := range runners[first : first+crashed] {
+				r.Labels = []string{map[string]string{"a": "b", "b": "a"}[r.Labels[0]], "r1-1"}
 				r.Begin()
 			}
 		}
@@ -114,5 +118,5 @@
 	if starts == 0 {
 		record.Fail("no task was started")
 	}
-	return record.Verdict(told > 0, "of %d starts, %d on a runner without the label a, %d of them after that incarnation had answered a call; answers by status: %v", starts, wrong, told, answers)
+	return record.Verdict(told > 0, "of %d starts, %d on a runner without the label that the task needs, %d of them after that incarnation had answered a call; answers by status: %v", starts, wrong, told, answers)
 }
