A learner that is lost does not block changes of members

Cause: a new control VM joins the quorum as a learner, and nothing else is changed until it has caught up. One that was lost for good before that stayed the learner: no successor was taken in and no unresponsive voter left out any more. Change: a learner that no VM wants, or that the leader has not heard for four heartbeats, is dropped; it is taken in again once it can be asked. TestLostLearnerDoesNotBlockChanges failed before (the learner stays after three steps); it passes now.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -236,6 +236,17 @@
 	c.others = others
 }
 
+// Silent returns the members, the learner among them, that a leader has not heard for d.
+func (c *Core) Silent(now time.Time, d time.Duration) []Member {
+	var silent []Member
+	for _, m := range c.config.others(c.self) {
+		if p := c.others[m]; p != nil && now.Sub(p.heard) >= d {
+			silent = append(silent, m)
+		}
+	}
+	return silent
+}
+
 // CaughtUp reports whether a leader's learner holds the whole log.
 func (c *Core) CaughtUp() bool {
 	p := c.others[c.config.Learner]
--- a/tamarackpin/internal/controller/member.go
+++ b/tamarackpin/internal/controller/member.go
@@ -43,7 +43,7 @@
 			return peer.Call[replica.Identity](ctx, k.config.Mesh, v, report.UseControl, methodIdentify, struct{}{})
 		},
 		Founders: controlVMs(k.config.Settings.VMs), MayFound: true,
-		Wanted: func(time.Time, quorum.Config) []vm.ID { return controlVMs(k.config.Settings.VMs) },
+		Wanted: func(time.Time, quorum.Config, []quorum.Member) []vm.ID { return controlVMs(k.config.Settings.VMs) },
 	})
 	return m, err
 }
--- a/tamarackpin/internal/keeper/keeper.go
+++ b/tamarackpin/internal/keeper/keeper.go
@@ -119,7 +119,7 @@
 
 // desiredMembers returns the VMs that should be members of the quorum: the
 // responsive control VMs, and the unresponsive members that nobody replaces.
-func (k *Keeper) desiredMembers(now time.Time, c quorum.Config) []vm.ID {
+func (k *Keeper) desiredMembers(now time.Time, c quorum.Config, _ []quorum.Member) []vm.ID {
 	alive := map[vm.ID]bool{k.self: true}
 	for _, p := range k.config.Knowledge.VMs(func(p vm.Present) bool { return p.Control && now.Sub(p.Heard) < replaceAfter }) {
 		alive[p.VM] = true
--- a/tamarackpin/internal/replica/membership.go
+++ b/tamarackpin/internal/replica/membership.go
@@ -20,6 +20,9 @@
 	// than the quorum knows before it is replaced: soon, since until then one more
 	// loss ends the quorum.
 	changeAfter = 2
+	// silentAfter is how long a leader has not heard from a member when that counts as silent:
+	// four heartbeats.
+	silentAfter = quorum.ElectionTimeout
 )
 
 // Identity is what a member says of its disk.
@@ -109,24 +112,25 @@
 		pause = memberEvery
 		var leads bool
 		var config quorum.Config
-		r.do(ctx, func(r *Replica, _ time.Time) {
-			leads, config = r.core.Role() == quorum.Leader, r.core.Config()
+		var silent []quorum.Member
+		r.do(ctx, func(r *Replica, now time.Time) {
+			leads, config, silent = r.core.Role() == quorum.Leader, r.core.Config(), r.core.Silent(now, silentAfter)
 		})
 		if !leads {
 			clear(strange)
 			continue
 		}
-		if r.memberRound(ctx, config, strange) {
+		if r.memberRound(ctx, config, silent, strange) {
 			pause = memberSoon
 		}
 	}
 }
 
 // memberRound takes one step and reports whether another may follow at once.
-func (r *Replica) memberRound(ctx context.Context, c quorum.Config, strange map[quorum.Member]int) (changing bool) {
+func (r *Replica) memberRound(ctx context.Context, c quorum.Config, silent []quorum.Member, strange map[quorum.Member]int) (changing bool) {
 	wanted := make(map[vm.ID]quorum.Member)
 	seen := make(map[quorum.Member]bool)
-	for _, v := range r.config.Wanted(time.Now(), c) {
+	for _, v := range r.config.Wanted(time.Now(), c, silent) {
 		wanted[v] = quorum.Member{}
 		id, ok := r.ask(ctx, v)
 		if !ok {
@@ -144,7 +148,7 @@
 		}
 	}
 	r.do(ctx, func(r *Replica, now time.Time) {
-		next, ok := nextConfig(r.core.Config(), wanted, r.core.CaughtUp())
+		next, ok := nextConfig(r.core.Config(), wanted, r.core.CaughtUp(), r.core.Silent(now, silentAfter))
 		if changing = ok; !ok {
 			return
 		}
@@ -158,9 +162,13 @@
 // nextConfig returns the next step from c towards the wanted members. A wanted
 // member without a disk is one that cannot be asked now; it stays as it is. A
 // member with a new disk is brought up to date as a learner before it takes the
-// place of the old disk.
-func nextConfig(c quorum.Config, wanted map[vm.ID]quorum.Member, caughtUp bool) (quorum.Config, bool) {
+// place of the old disk. A silent learner is dropped, as there can be one only and nothing
+// else is changed meanwhile; it is taken in again once it can be asked.
+func nextConfig(c quorum.Config, wanted map[vm.ID]quorum.Member, caughtUp bool, silent []quorum.Member) (quorum.Config, bool) {
 	if l := c.Learner; !l.IsZero() {
+		if _, listed := wanted[l.VM]; !listed || slices.Contains(silent, l) {
+			return quorum.Config{Voters: c.Voters}, true
+		}
 		return nextOfLearner(c, wanted[l.VM], caughtUp)
 	}
 	for _, v := range c.Voters {
--- a/tamarackpin/internal/replica/membership_test.go
+++ b/tamarackpin/internal/replica/membership_test.go
@@ -14,13 +14,13 @@
 	a, b, c, fresh := quorum.Member{VM: "a", Disk: "1"}, quorum.Member{VM: "b", Disk: "2"}, quorum.Member{VM: "c", Disk: "3"}, quorum.Member{VM: "c", Disk: "4"}
 	config := quorum.Config{Voters: []quorum.Member{a, b, c}}
 	wanted := map[vm.ID]quorum.Member{"a": a, "b": b, "c": {}}
-	if _, changes := nextConfig(config, wanted, false); changes {
+	if _, changes := nextConfig(config, wanted, false, nil); changes {
 		t.Fatal("a member that cannot be asked was changed")
 	}
 	wanted["c"] = fresh
 	steps := 0
 	for {
-		next, changes := nextConfig(config, wanted, true)
+		next, changes := nextConfig(config, wanted, true, nil)
 		if !changes {
 			break
 		}
@@ -54,7 +54,30 @@
 		t.Errorf("it settled at %+v", config)
 	}
 	delete(wanted, "b")
-	if next, changes := nextConfig(config, wanted, true); !changes || next.Votes(b) {
+	if next, changes := nextConfig(config, wanted, true, nil); !changes || next.Votes(b) {
 		t.Errorf("a member that the settings no longer name stays: %+v", next)
 	}
 }
+
+// TestLostLearnerDoesNotBlockChanges: a learner is lost for good before it has caught up. It stayed the
+// learner, and no member was taken in or left out any more.
+func TestLostLearnerDoesNotBlockChanges(t *testing.T) {
+	a, b, c := quorum.Member{VM: "a", Disk: "1"}, quorum.Member{VM: "b", Disk: "2"}, quorum.Member{VM: "c", Disk: "3"}
+	lost, successor := quorum.Member{VM: "d", Disk: "4"}, quorum.Member{VM: "e", Disk: "5"}
+	for _, test := range []struct {
+		name   string
+		wanted map[vm.ID]quorum.Member
+		silent []quorum.Member
+	}{
+		{"it counts as unresponsive", map[vm.ID]quorum.Member{"a": a, "b": b, "c": c, "e": successor}, nil},
+		{"the leader does not hear it", map[vm.ID]quorum.Member{"a": a, "b": b, "c": c, "d": {}, "e": successor}, []quorum.Member{lost}},
+	} {
+		config := quorum.Config{Voters: []quorum.Member{a, b, c}, Learner: lost}
+		for range 3 {
+			config, _ = nextConfig(config, test.wanted, config.Learner == successor, test.silent)
+		}
+		if !config.Votes(successor) {
+			t.Errorf("%s: members %+v after three steps, want the successor to vote", test.name, config)
+		}
+	}
+}
--- a/tamarackpin/internal/replica/replica.go
+++ b/tamarackpin/internal/replica/replica.go
@@ -80,8 +80,9 @@
 	// MayFound says whether a new quorum may be formed when all founders' disks
 	// are empty.
 	MayFound bool
-	// Wanted returns the VMs that should be members, given those that are.
-	Wanted func(now time.Time, c quorum.Config) []vm.ID
+	// Wanted returns the VMs that should be members, given those that are and the ones of them
+	// that are silent.
+	Wanted func(now time.Time, c quorum.Config, silent []quorum.Member) []vm.ID
 }
 
 // command is one message to the Replica's goroutine.
