A voter that has a successor is left out of the quorum at once

Cause: a removed control VM stayed a voter for 8 s while its successor had joined as a fourth one. Four voters need three; the loss of another disk in that time left two. Change: of an even number of voters a silent one is left out at once, since one voter fewer tolerates as many losses.

--- a/tamarackpin/internal/keeper/keeper.go
+++ b/tamarackpin/internal/keeper/keeper.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -119,21 +120,26 @@
 
 // desiredMembers returns the VMs that should be members of the quorum: the
 // responsive control VMs, and the unresponsive members that nobody replaces.
-func (k *Keeper) desiredMembers(now time.Time, c quorum.Config, _ []quorum.Member) []vm.ID {
+func (k *Keeper) desiredMembers(now time.Time, c quorum.Config, silent []quorum.Member) []vm.ID {
 	alive := map[vm.ID]bool{k.self: true}
 	for _, p := range k.config.Knowledge.VMs(func(p vm.Present) bool { return p.Control && now.Sub(p.Heard) < replaceAfter }) {
 		alive[p.VM] = true
 	}
-	return members(c, alive, len(k.config.Settings.Seeds))
+	return members(c, alive, silent, len(k.config.Settings.Seeds))
 }
 
 // members returns the alive VMs, and the unresponsive voters while there are not
 // enough alive voters without them: minMembers, or all voters but one if that is
-// more.
-func members(c quorum.Config, alive map[vm.ID]bool, minMembers int) []vm.ID {
+// more. Of an even number of voters a silent one is left out at once: one voter fewer
+// tolerates the loss of as many disks, and a VM that has a successor is lost for good.
+func members(c quorum.Config, alive map[vm.ID]bool, silent []quorum.Member, minMembers int) []vm.ID {
+	surplus := len(c.Voters)%2 == 0 && len(c.Voters) > minMembers
+	removable := func(v quorum.Member) bool { return surplus && slices.Contains(silent, v) }
 	var ids []vm.ID
 	for id := range alive {
-		ids = append(ids, id)
+		if v, votes := c.Disk(id); !votes || !removable(v) {
+			ids = append(ids, id)
+		}
 	}
 	aliveVoters := 0
 	for _, v := range c.Voters {
@@ -142,7 +148,7 @@
 		}
 	}
 	for _, v := range c.Voters {
-		if !alive[v.VM] && aliveVoters < max(minMembers, len(c.Voters)-1) {
+		if !alive[v.VM] && !removable(v) && aliveVoters < max(minMembers, len(c.Voters)-1) {
 			ids = append(ids, v.VM)
 		}
 	}
