A worker that restarts with its clock set back is known as restarted

Cause: an incarnation is the time of day of the worker's start, and the higher of two was taken for the later one. After a clock was set back the announcements of the restarted worker were dropped as old ones, though acknowledged, and its replies counted for the incarnation before. Change: a restart is shown by a reply to an order that was sent after the last reply of the known incarnation, or by a second announcement that shows that the lower incarnation is alive. Crash records compare incarnations for equality only.

--- a/internal/crash/log.go
+++ b/internal/crash/log.go
@@ -113,11 +113,11 @@
 	}
 }
 
-// ObserveIncarnation records that an incarnation of a worker exists, so that earlier ones
-// have ended. One that was silent when the leases lapsed may have crashed after that.
+// ObserveIncarnation records that i is the present incarnation of a worker, or that it has none if i is 0,
+// so that the others have ended. One that was silent when the leases lapsed may have crashed after that.
 func (l *Log) ObserveIncarnation(now time.Time, id worker.ID, i worker.Incarnation) {
-	l.resolve(now, id, Restarted, func(lost loss) bool { return lost.Incarnation < i && lost.Evidence == Refused })
-	l.resolve(now, id, Unproven, func(lost loss) bool { return lost.Incarnation < i && lost.Evidence == Silent })
+	l.resolve(now, id, Restarted, func(lost loss) bool { return lost.Incarnation != i && lost.Evidence == Refused })
+	l.resolve(now, id, Unproven, func(lost loss) bool { return lost.Incarnation != i && lost.Evidence == Silent })
 }
 
 // ObserveReply records that an incarnation of a worker replied to an order that was sent
--- a/internal/pool/handover_test.go
+++ b/internal/pool/handover_test.go
@@ -8,6 +8,7 @@
 
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/lead"
+	"tamarackpin.example/internal/worker"
 )
 
 // inheritedRun is a run that an earlier dispatcher ordered on worker w0, in the tests of this file.
@@ -157,9 +158,38 @@
 }
 
 func runHandoverSchedule(seed uint64) (map[string]int, error) {
+	return newHandoverSimulation(seed).run(handoverSteps)
+}
+
+func runClockSchedule(seed uint64) (map[string]int, error) {
+	sim := newHandoverSimulation(seed)
+	r := rand.New(rand.NewPCG(seed, 6))
+	for _, s := range sim.workers {
+		used := map[worker.Incarnation]bool{s.incarnation: true}
+		s.nextIncarnation = func(last worker.Incarnation) worker.Incarnation {
+			next := last
+			for used[next] || next < 1 {
+				next = last + worker.Incarnation(r.IntN(41)-20)
+			}
+			used[next] = true
+			if next < last {
+				sim.stats["clocks set back"]++
+			}
+			return next
+		}
+	}
+	return sim.run(handoverSteps)
+}
+
+func newHandoverSimulation(seed uint64) *simulation {
 	sim := newSimulation(seed, noFault)
 	sim.handovers = &handovers{r: rand.New(rand.NewPCG(seed, 5)), forwards: make(map[time.Time][]job.ID)}
-	for range handoverSteps {
+	return sim
+}
+
+// run runs a number of steps, or until a task runs twice at once.
+func (sim *simulation) run(steps int) (map[string]int, error) {
+	for range steps {
 		if err := sim.step(); err != nil {
 			return sim.stats, err
 		}
@@ -170,10 +200,20 @@
 // TestNoTaskRunsTwiceAcrossHandovers runs the random schedules with planned handovers in series,
 // replies that are lost and connections that are reset around them (review/1, issue 39).
 func TestNoTaskRunsTwiceAcrossHandovers(t *testing.T) {
+	checkHandoverSchedules(t, runHandoverSchedule)
+}
+
+// TestNoTaskRunsTwiceAfterClocksSetBack runs the schedules with handovers and with workers whose clocks are
+// set back and forth, so that they restart with lower incarnations (review/5).
+func TestNoTaskRunsTwiceAfterClocksSetBack(t *testing.T) {
+	checkHandoverSchedules(t, runClockSchedule)
+}
+
+func checkHandoverSchedules(t *testing.T, run func(seed uint64) (map[string]int, error)) {
 	total := make(map[string]int)
 	failed := 0
 	for seed := range handoverSeeds + *moreSchedules {
-		stats, err := runHandoverSchedule(seed)
+		stats, err := run(seed)
 		if err != nil {
 			failed++
 			t.Errorf("seed %d: %v", seed, err)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -173,8 +173,9 @@
 // Fenced reports whether a worker refused the Pool's fence.
 func (p *Pool) Fenced() bool { return p.fenced }
 
-// UpdateWorker records the newest announcement of a worker, and adds the worker if
-// it is unknown. An announcement of an earlier incarnation is ignored.
+// UpdateWorker records the newest announcement of a worker, and adds the worker if it is unknown. An
+// announcement of an incarnation that has ended is ignored. One of a lower incarnation at the same
+// address, which may be a later one, is kept until a reply shows which of the two is the present one.
 func (p *Pool) UpdateWorker(now time.Time, rec worker.Record) {
 	w := p.workers[rec.Worker]
 	if w == nil {
@@ -184,10 +185,15 @@
 		p.byID = slices.Insert(p.byID, at, w)
 		w.Worker = rec.Worker
 	}
-	if rec.Incarnation < w.Incarnation {
+	switch {
+	case w.Incarnation == 0 || rec.Incarnation == w.Incarnation:
+	case slices.Contains(w.ended, rec.Incarnation) || rec.AnnouncedAt.Before(w.replyTo):
 		return
-	}
-	if w.Incarnation != 0 && rec.Incarnation > w.Incarnation {
+	case rec.Incarnation < w.Incarnation && rec.Address == w.Address && !w.stale:
+		w.announcedNext, w.runsKnown = rec, false
+		p.poll(now, w)
+		return
+	default:
 		p.handleRestart(now, w, rec)
 	}
 	w.free = w.free.Add(rec.Capacity.Sub(w.Capacity))
@@ -200,7 +206,7 @@
 	p.scheduleTasks(now)
 }
 
-// handleRestart handles a new incarnation of a worker. The new incarnation has none of
+// handleRestart handles that the present incarnation of a worker is that of rec, another one than before. The new incarnation has none of
 // the previous one's runs, but may execute orders still in flight and does not know
 // of earlier stops. So acknowledged tasks are requeued, and those whose start got no reply
 // yet are stopped anew. It is queried, so that it lists what late orders have started there
@@ -236,6 +242,7 @@
 		// The clock starts anew: a lease deadline on the predecessor's clock lies
 		// far ahead on that of the new incarnation.
 		lateOrdersUntil: lateOrdersUntil, leasesUntil: lateOrdersUntil,
+		ended: append([]worker.Incarnation{w.Incarnation}, w.ended[:min(len(w.ended), maxEnded-1)]...),
 	}
 	p.estimator.ForgetWorker(rec.Worker)
 	for _, t := range unackedTasks {
@@ -244,6 +251,10 @@
 	}
 }
 
+// maxEnded bounds workerState.ended: replies and announcements of earlier incarnations are no longer on
+// their way.
+const maxEnded = 8
+
 const (
 	// maxOrderDelay is how late an order may be carried out, as the platform states it.
 	maxOrderDelay = 12 * time.Second
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"tamarackpin.example/internal/crash"
@@ -11,14 +12,17 @@
 // Receive handles the reply to an order, or that none came in time (see [Reply]).
 // Replies about an earlier incarnation are ignored.
 func (p *Pool) Receive(now time.Time, r Reply) {
+	w := p.workers[r.Worker]
+	if w != nil && w.isAmbiguous(r) {
+		r = Reply{Order: r.Order, ReceivedAt: r.ReceivedAt}
+	}
 	if r.Kind == StartOrder && r.Unanswered() {
 		p.addLateStart(now, r.LateStart())
 	}
-	w := p.workers[r.Worker]
 	if w == nil {
 		return
 	}
-	if r.RepliedBy > w.Incarnation {
+	if w.showsRestart(r) {
 		p.handleNewIncarnation(now, w, r)
 	}
 	if w.Incarnation != r.Incarnation && w.Incarnation != r.RepliedBy {
@@ -32,7 +36,7 @@
 	}
 	if r.Done || r.HasClock {
 		w.missedReplies = 0
-		w.lastReplyAt = now
+		w.lastReplyAt, w.replyTo = now, later(w.replyTo, r.Sent)
 		p.crashes.ObserveReply(now, w.Worker, w.Incarnation, r.Sent)
 	}
 	if r.NoListener {
@@ -68,9 +72,25 @@
 	p.scheduleTasks(now)
 }
 
-// handleNewIncarnation handles a reply from a later incarnation of w than the known
-// one, ahead of its announcement. If the reply acknowledges a start, the new
-// incarnation runs that task.
+// showsRestart reports whether a reply shows that w has restarted: it is from an incarnation that is
+// not known to have ended, higher than the present one or, since the clock of the worker
+// may have been set back, in reply to an order that was sent after the last reply of the present one.
+func (w *workerState) showsRestart(r Reply) bool {
+	if r.RepliedBy == 0 || r.RepliedBy == w.Incarnation || slices.Contains(w.ended, r.RepliedBy) {
+		return false
+	}
+	return r.RepliedBy > w.Incarnation || r.Incarnation == w.Incarnation && !r.Sent.Before(w.lastReplyAt)
+}
+
+// isAmbiguous reports whether a reply is from another incarnation than the present one and does not
+// show which of them is the later one, as each replied to an order that was sent before the
+// reply of the other arrived. It counts as no reply, and the next one tells.
+func (w *workerState) isAmbiguous(r Reply) bool {
+	return r.RepliedBy != 0 && r.RepliedBy != w.Incarnation && r.Incarnation == w.Incarnation && !w.showsRestart(r)
+}
+
+// handleNewIncarnation handles a reply that shows that w has restarted. If it acknowledges a start, the
+// new incarnation runs that task.
 func (p *Pool) handleNewIncarnation(now time.Time, w *workerState, r Reply) {
 	if r.Kind == StartOrder && r.Done {
 		if t := w.tasks[r.Task]; t != nil && t.run == r.Run {
@@ -79,9 +99,17 @@
 			t.ackedAt = now
 		}
 	}
-	rec := w.Record
-	rec.Incarnation, rec.Sequence = r.RepliedBy, 0
-	p.handleRestart(now, w, rec)
+	next := w.announcedNext
+	if next.Incarnation == r.RepliedBy {
+		p.handleRestart(now, w, next)
+		w.announced = true
+	} else {
+		// What the new incarnation is, such as its kind, is unknown until it announces itself.
+		rec := w.Record
+		rec.Incarnation, rec.Sequence = r.RepliedBy, 0
+		p.handleRestart(now, w, rec)
+		w.announcedNext = next
+	}
 	t := w.tasks[r.Task]
 	switch {
 	case r.Kind != StartOrder || !r.Done || t == nil || t.run != r.Run:
@@ -99,7 +127,7 @@
 // address, and it refuses late starts for the same reason.
 func (p *Pool) handleIncarnationGone(now time.Time, w *workerState) {
 	w.stale = true
-	p.crashes.ObserveIncarnation(now, w.Worker, w.Incarnation+1)
+	p.crashes.ObserveIncarnation(now, w.Worker, 0)
 	p.recordOrphanLosses(now, w, crash.Restarted)
 	p.lateStarts.Forget(w.Worker)
 	clear(w.orphans)
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -74,6 +74,8 @@
 	lastEnd     uint64
 	sequence    uint64
 	onCrash     func(*simWorker) // called before its runs are lost; may be nil
+	// nextIncarnation returns the incarnation after the given one; nil counts up.
+	nextIncarnation func(worker.Incarnation) worker.Incarnation
 }
 
 func (s *simWorker) clock(now time.Time) worker.Clock {
@@ -143,7 +145,11 @@
 	if s.onCrash != nil {
 		s.onCrash(s)
 	}
-	s.incarnation++
+	if s.nextIncarnation != nil {
+		s.incarnation = s.nextIncarnation(s.incarnation)
+	} else {
+		s.incarnation++
+	}
 	s.startedAt, s.fence, s.deadline, s.lastEnd, s.ended, s.sequence = now, 0, 0, 0, nil, 0
 	s.running, s.highestRun = make(map[job.Task]simRun), make(map[job.Task]job.Run)
 }
@@ -596,13 +602,7 @@
 }
 
 func runSchedule(seed uint64, f fault) (map[string]int, error) {
-	sim := newSimulation(seed, f)
-	for range scheduleSteps {
-		if err := sim.step(); err != nil {
-			return sim.stats, err
-		}
-	}
-	return sim.stats, nil
+	return newSimulation(seed, f).run(scheduleSteps)
 }
 
 // TestNoTaskRunsTwiceAtOnce runs random schedules with lost, late and reordered
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -159,23 +159,26 @@
 	tasks    map[job.Task]*task   // assigned, whatever their phase; their capacity is reserved
 	orphans  map[job.Task]job.Run // runs listed that are not assigned here, such as those of jobs not forwarded yet
 
-	lateOrdersUntil time.Time // until then, late orders may extend leases on a new incarnation
-	roomRefusals    int       // number of starts refused for want of room since a run ended or it announced itself
-	roomRetryAt     time.Time // it gets no new task before, after such a refusal
-	announced       bool      // this incarnation has announced itself
-	runsKnown       bool      // its list of runs is current enough to assign tasks; false before the first list and after RefusedRoom
-	endsSeen        uint64    // ends up to this number were handled
-	renewPending    bool      // a renewal was sent and has no reply yet
-	renewSentAt     time.Time // when the newest renewal was sent
-	missedReplies   int       // number of orders in a row without a reply
-	backoffUntil    time.Time // it gets no new task before
-	failures        int       // number of failures since a run was last done
-	stalls          int       // number of runs that stalled since one was last done
-	fenceSeen       bool      // this incarnation has carried out an order of this Pool, and refuses those of earlier dispatchers
-	leasesUntil     time.Time // all leases that this Pool asked for, or found there, have lapsed by then, however slow its clock is
-	lastReplyAt     time.Time // when it last replied
-	noListenerAt    time.Time // when its host last refused a connection
-	stale           bool      // this incarnation has ended: no renewal and no new task until the next one is announced
+	lateOrdersUntil time.Time            // until then, late orders may extend leases on a new incarnation
+	roomRefusals    int                  // number of starts refused for want of room since a run ended or it announced itself
+	roomRetryAt     time.Time            // it gets no new task before, after such a refusal
+	announced       bool                 // this incarnation has announced itself
+	ended           []worker.Incarnation // the incarnations before this one, the newest first, at most maxEnded
+	announcedNext   worker.Record        // newest announcement of an incarnation that may follow this one, see UpdateWorker
+	replyTo         time.Time            // when the newest order was sent that this incarnation replied to
+	runsKnown       bool                 // its list of runs is current enough to assign tasks; false before the first list and after RefusedRoom
+	endsSeen        uint64               // ends up to this number were handled
+	renewPending    bool                 // a renewal was sent and has no reply yet
+	renewSentAt     time.Time            // when the newest renewal was sent
+	missedReplies   int                  // number of orders in a row without a reply
+	backoffUntil    time.Time            // it gets no new task before
+	failures        int                  // number of failures since a run was last done
+	stalls          int                  // number of runs that stalled since one was last done
+	fenceSeen       bool                 // this incarnation has carried out an order of this Pool, and refuses those of earlier dispatchers
+	leasesUntil     time.Time            // all leases that this Pool asked for, or found there, have lapsed by then, however slow its clock is
+	lastReplyAt     time.Time            // when it last replied
+	noListenerAt    time.Time            // when its host last refused a connection
+	stale           bool                 // this incarnation has ended: no renewal and no new task until the next one is announced
 }
 
 // eligible reports whether w may get new tasks: its runs are known, it
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -21,8 +21,9 @@
 // ID identifies a worker. A worker may keep its ID across restarts.
 type ID string
 
-// Incarnation distinguishes the runs of a worker under one ID; it grows with each
-// restart.
+// Incarnation distinguishes the runs of a worker under one ID. It is the time of day at which the
+// worker started, on its own clock, which may have been set back: of two incarnations the
+// higher one is not always the later one. See [Registry.Observe].
 type Incarnation int64
 
 // Kind is a class of machines that run tasks at about the same speed.
@@ -150,14 +151,6 @@
 	return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && !strings.ContainsRune("-._", r)
 }
 
-// newerThan reports whether a was made after o by the same worker.
-func (a Announcement) newerThan(o Announcement) bool {
-	if a.Incarnation != o.Incarnation {
-		return a.Incarnation > o.Incarnation
-	}
-	return a.Sequence > o.Sequence
-}
-
 // sameAs reports whether a and o differ at most in sequence and clock.
 func (a Announcement) sameAs(o Announcement) bool {
 	a.Sequence, a.Clock = o.Sequence, o.Clock
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -113,18 +113,18 @@
 	}
 }
 
-// ObserveWorker records an announcement that a worker made age ago, and reports
-// whether it changed more than the time of last contact.
-func (k *Knowledge) ObserveWorker(now time.Time, a worker.Announcement, age time.Duration) bool {
+// ObserveWorker records an announcement that a worker made age ago. replaced has the incarnations that
+// its incarnation has replaced at the VM that it came from, if that is not the worker.
+func (k *Knowledge) ObserveWorker(now time.Time, a worker.Announcement, age time.Duration, replaced []worker.Incarnation) worker.Observation {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.registry.Observe(now, a, age) {
-		return false
+	o := k.registry.Observe(now, a, age, replaced)
+	if o == worker.Changed {
+		k.notifyChanged()
+		event.Log(k.log, event.WorkerAnnounced, zap.String("worker", string(a.Worker)), zap.Int64("incarnation", int64(a.Incarnation)),
+			zap.String("address", a.Address), zap.Bool("leaving", a.Leaving), zap.Duration("age", age))
 	}
-	k.notifyChanged()
-	event.Log(k.log, event.WorkerAnnounced, zap.String("worker", string(a.Worker)), zap.Int64("incarnation", int64(a.Incarnation)),
-		zap.String("address", a.Address), zap.Bool("leaving", a.Leaving), zap.Duration("age", age))
-	return true
+	return o
 }
 
 // CheckService returns an error for an announcement that a worker cannot have made: of a
--- a/tamarackpin/internal/fleet/knowledge_test.go
+++ b/tamarackpin/internal/fleet/knowledge_test.go
@@ -32,8 +32,8 @@
 	old := knowledge("ip-01", "a")
 	old.AdoptTable(&routes.Table{Version: 7}, "")
 	old.ObserveVM(now, vm.Presence{VM: "ip-03", FailureDomain: "a", Incarnation: 4}, 0)
-	old.ObserveWorker(now, announcement("w1", 1, "a"), 0)
-	old.ObserveWorker(now, announcement("w2", 1, "b"), 0)
+	old.ObserveWorker(now, announcement("w1", 1, "a"), 0, nil)
+	old.ObserveWorker(now, announcement("w2", 1, "b"), 0, nil)
 	fresh := knowledge("ip-02", "a")
 	reply, urgent := old.changesSince(now.Add(time.Second), syncRequest{Self: fresh.Self()})
 	if !urgent {
@@ -140,15 +140,15 @@
 func TestDeregistrationOfEarlierIncarnation(t *testing.T) {
 	now := time.Unix(1000, 0)
 	behind, entry := knowledge("ip-01", "a"), knowledge("ip-02", "a")
-	behind.ObserveWorker(now, announcement("w", 1, "a"), 0)
+	behind.ObserveWorker(now, announcement("w", 1, "a"), 0, nil)
 	behind.DeregisterWorker("w", 0)
 	again := announcement("w", 1, "a")
 	again.Incarnation = 2
-	entry.ObserveWorker(now.Add(time.Second), again, 0)
+	entry.ObserveWorker(now.Add(time.Second), again, 0, nil)
 	reply, _ := behind.changesSince(now.Add(2*time.Second), syncRequest{Self: entry.Self()})
 	entry.merge(now.Add(2*time.Second), reply)
 	again.Sequence = 2
-	entry.ObserveWorker(now.Add(2*time.Second), again, 0)
+	entry.ObserveWorker(now.Add(2*time.Second), again, 0, nil)
 	workers, _ := entry.Workers("a", 0)
 	if len(workers) != 1 || workers[0].Incarnation != 2 || !workers[0].Usable(now.Add(2*time.Second)) {
 		t.Errorf("after a reply about the earlier incarnation, the worker is recorded as %+v", workers)
@@ -182,14 +182,14 @@
 	}
 	now = now.Add(worker.AnnouncementTimeout)
 	for _, id := range []worker.ID{"w1", "w2", "w3", "w4", "w5"} {
-		entry.ObserveWorker(now, announcement(id, 3, "a"), 0)
+		entry.ObserveWorker(now, announcement(id, 3, "a"), 0, nil)
 	}
 	if n := entry.CountWorkers(now, "a"); n != 5 {
 		t.Errorf("%d workers are usable after their own announcements, want 5", n)
 	}
 	gone := syncReply{Self: vm.Presence{VM: "ip-01", Control: true}}
 	control := knowledge("ip-01", "a")
-	control.ObserveWorker(now, announcement("w5", 3, "a"), 0)
+	control.ObserveWorker(now, announcement("w5", 3, "a"), 0, nil)
 	control.DeregisterWorker("w5", 1)
 	left, _ := control.Workers("a", 0)
 	for _, r := range left {
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -74,6 +74,8 @@
 	worker.Announcement
 	Deregistered bool          `json:"gone,omitempty"`
 	Age          wire.Duration `json:"age"`
+	// Replaced has the incarnations that this one replaced at the sender.
+	Replaced []worker.Incarnation `json:"replaced,omitempty"`
 }
 
 // Serve registers the handlers for other VMs' requests: every VM returns what it
@@ -136,7 +138,7 @@
 	}
 	for r := range k.registry.All {
 		if r.SeenCursor > req.WorkerCursor && req.Self.Callers && r.FailureDomain == req.Self.FailureDomain {
-			reply.Workers = append(reply.Workers, agedWorker{r.Announcement, r.Deregistered, wire.Duration(max(0, now.Sub(r.AnnouncedAt))).Round()})
+			reply.Workers = append(reply.Workers, agedWorker{r.Announcement, r.Deregistered, wire.Duration(max(0, now.Sub(r.AnnouncedAt))).Round(), r.Replaced})
 			urgent = urgent || r.ChangeCursor > req.WorkerCursor
 		}
 	}
@@ -185,7 +187,7 @@
 			k.RefuseWorker(now, w.Worker, err)
 			continue
 		}
-		k.ObserveWorker(now, w.Announcement, w.Age.Std())
+		k.ObserveWorker(now, w.Announcement, w.Age.Std(), w.Replaced)
 		if w.Deregistered {
 			k.DeregisterWorker(w.Worker, w.Incarnation)
 		}
--- a/tamarackpin/internal/group/partial_test.go
+++ b/tamarackpin/internal/group/partial_test.go
@@ -32,7 +32,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	now := time.Now()
 	old, oldKnowledge, x := newTestGroup("ip-0a000001", now.Add(-time.Minute), nil)
-	oldKnowledge.ObserveWorker(now, worker.Announcement{Worker: "w", Incarnation: 1, Sequence: 1, Service: "s", Address: "10.0.0.9:1", FailureDomain: "a"}, 0)
+	oldKnowledge.ObserveWorker(now, worker.Announcement{Worker: "w", Incarnation: 1, Sequence: 1, Service: "s", Address: "10.0.0.9:1", FailureDomain: "a"}, 0, nil)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
