A restarted worker gets no task before it has announced what it is

Cause: a reply ahead of the announcement of a new incarnation made the worker eligible with the kind, rack and service of the one before. Change: workerState.eligible requires that the present incarnation has announced itself; the guard on the capacity of unguarded workers was the same condition and goes. Evidence: TestRestartedWorkerGetsNoTaskBeforeItAnnouncesItself failed before in all its cases; passes now. The related half of TestReplyOfLowerIncarnationShowsRestart too.

--- a/internal/pool/incarnation_test.go
+++ b/internal/pool/incarnation_test.go
@@ -52,14 +52,17 @@
 	if w.Incarnation != lowerIncarnation || h.pool.Counts.Requeued != 1 {
 		t.Fatalf("incarnation %d, %d tasks requeued; want %d and 1", w.Incarnation, h.pool.Counts.Requeued, lowerIncarnation)
 	}
+	if starts := h.ordersOfKind(StartOrder); len(starts) != 0 {
+		t.Errorf("%d tasks start on an incarnation that has not announced itself", len(starts))
+	}
 	// The announcement of the one that has ended arrives late, then its own, with other properties.
 	h.announce("w0", firstIncarnation)
 	if w.Incarnation != lowerIncarnation || w.announced {
 		t.Errorf("incarnation %d, announced: %v, after a late announcement of the one before", w.Incarnation, w.announced)
 	}
 	h.announce("w0", lowerIncarnation)
-	if !w.announced {
-		t.Error("its own announcement is not recorded")
+	if starts := h.ordersOfKind(StartOrder); len(starts) != 1 || starts[0].Incarnation != lowerIncarnation {
+		t.Errorf("starts %+v once it has announced itself, want that of the task", starts)
 	}
 }
 
@@ -111,3 +114,45 @@
 		t.Errorf("incarnation %d, want %d", w.Incarnation, lowerIncarnation)
 	}
 }
+
+// TestRestartedWorkerGetsNoTaskBeforeItAnnouncesItself: a worker restarts as another kind, in another rack or of
+// another service, and replies before its announcement arrives. Tasks that require the label or the service
+// of the incarnation before were started on it (review/4).
+func TestRestartedWorkerGetsNoTaskBeforeItAnnouncesItself(t *testing.T) {
+	announce := func(h *harness, i worker.Incarnation, kind worker.Kind, rack worker.Rack, service worker.Service) {
+		h.pool.UpdateWorker(h.now, worker.Record{AnnouncedAt: h.now, Announcement: worker.Announcement{
+			Worker: "w0", Incarnation: i, Sequence: 1, Service: service, Address: "w0", Kind: kind, Rack: rack,
+			Capacity: worker.Resources{MilliCores: 16000, MemoryMB: 1000}, Clock: worker.Clock(time.Second),
+		}})
+	}
+	for _, c := range []struct {
+		label   string
+		kind    worker.Kind
+		rack    worker.Rack
+		service worker.Service
+		starts  int // once it has announced itself
+	}{
+		{"a", "b", "r1", "s", 0},
+		{"r1", "a", "r2", "s", 0},
+		{"", "a", "r1", "other", 0},
+		{"a", "a", "r1", "s", 1},
+	} {
+		h := newHarness(t, 0)
+		announce(h, firstIncarnation, "a", "r1", "s")
+		h.reply(h.ordersOfKind(RenewOrder)[0], Reply{Done: true})
+		h.now = h.now.Add(time.Second)
+		h.replyAs(firstIncarnation+1, h.query(), Reply{Done: true})
+		r := patientRequest(time.Second)
+		r.Job.Steps[0].Label = c.label
+		h.pool.Submit(h.now, r)
+		h.advance(10 * time.Millisecond)
+		if starts := h.ordersOfKind(StartOrder); len(starts) > 0 {
+			t.Errorf("%+v: %d tasks start before the worker has announced what it is", c, len(starts))
+		}
+		announce(h, firstIncarnation+1, c.kind, c.rack, c.service)
+		h.advance(10 * time.Millisecond)
+		if starts := h.ordersOfKind(StartOrder); len(starts) != c.starts {
+			t.Errorf("%+v: %d tasks start once it has, want %d", c, len(starts), c.starts)
+		}
+	}
+}
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -30,7 +30,7 @@
 	// refused at once if it would be late here.
 	Offloaded bool `json:"Guest"`
 	// Unguarded reports that the workers of Service start tasks beyond their capacity, so
-	// that the dispatcher has to know it, see workerState.capacityKnown.
+	// that the dispatcher has to know it, see Pool.selectWorker.
 	Unguarded bool `json:",omitempty"`
 }
 
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -161,7 +161,8 @@
 // workers stay free for tasks that need them. If none meets it, the fastest kind
 // is preferred, or nil is returned as long as waiting for a faster worker may still
 // meet the objective. See better for the whole order. For a suspect the worker with the
-// fewest tasks is preferred.
+// fewest tasks is preferred. The capacity of an unguarded worker may shrink and grow while it
+// runs, so it must have announced that recently; a guarded one refuses what does not fit.
 func (p *Pool) selectWorker(now time.Time, candidates []*workerState, t *task) *workerState {
 	work := p.estimator.Work(t.job.Row, t.step)
 	var best *workerState
@@ -170,7 +171,7 @@
 	suspect := p.isSuspect(t)
 	isBound := len(p.lateStarts.Bindings(now, t.name)) > 0 // to the worker of its late start
 	for _, w := range candidates {
-		if w.reserved || !p.lateStarts.Permits(now, t.name, w.Worker, w.Incarnation) || !fits(w, t, isBound) || t.job.Unguarded && !w.capacityKnown(now) {
+		if w.reserved || !p.lateStarts.Permits(now, t.name, w.Worker, w.Incarnation) || !fits(w, t, isBound) || t.job.Unguarded && !w.Usable(now) {
 			continue
 		}
 		factor := p.estimator.Factor(w.Kind, w.Worker)
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -181,17 +181,13 @@
 	stale           bool                 // this incarnation has ended: no renewal and no new task until the next one is announced
 }
 
-// eligible reports whether w may get new tasks: its runs are known, it
-// replies, is not leaving and is not in backoff.
+// eligible reports whether w may get new tasks: this incarnation has announced what it is (its kind,
+// rack, service and capacity, and that it is not leaving), its runs are known, it replies and
+// is not in backoff.
 func (w *workerState) eligible(now time.Time) bool {
-	return w.runsKnown && !w.stale && w.missedReplies == 0 && w.alive(now) && !now.Before(w.backoffUntil) && !now.Before(w.roomRetryAt)
+	return w.announced && w.runsKnown && !w.stale && w.missedReplies == 0 && w.alive(now) && !now.Before(w.backoffUntil) && !now.Before(w.roomRetryAt)
 }
 
-// capacityKnown reports whether w recently announced its capacity, which may shrink and
-// grow while it runs. Workers that are not guarded get no task otherwise: for guarded ones
-// a reply shows that they are alive, and they refuse what does not fit.
-func (w *workerState) capacityKnown(now time.Time) bool { return w.announced && w.Usable(now) }
-
 // alive reports whether w recently announced itself or replied. Announcements do
 // not arrive while all control VMs, which forward them, are lost.
 func (w *workerState) alive(now time.Time) bool {
