An entry VM that stops answers every job that it accepted

Cause: at the limit of the stop the process canceled everything. Jobs whose callers would wait longer were neither given back before nor answered then. Change: the gate asks the dispatcher to answer those that have not started as not run, when the stop begins and when new jobs are refused. What is left at the limit is answered as abandoned before the servers close.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -80,7 +80,7 @@
 	{Listening, zapcore.InfoLevel, "listening", "An address is open; the field address has the port that was got."},
 	{Ready, zapcore.InfoLevel, "ready", "The entry VM has a table and takes work."},
 	{ShutdownBegun, zapcore.InfoLevel, "graceful shutdown begun", "No new work is taken; what runs is finished."},
-	{ShutdownEnded, zapcore.InfoLevel, "graceful shutdown ended", "Everything accepted was answered."},
+	{ShutdownEnded, zapcore.InfoLevel, "graceful shutdown ended", "abandoned is the number of jobs that were given up at the limit, cut_off that of those without an answer."},
 	{ShutdownCutOff, zapcore.ErrorLevel, "graceful shutdown cut off work", "The limit shutdown_limit passed with work still running; raise it or look for hanging targets."},
 	{Reloaded, zapcore.InfoLevel, "settings reloaded", "The settings file changed, or SIGHUP asked for it to be read again; the seeds in it are in use."},
 	{Fault, zapcore.ErrorLevel, "fault", "Something failed that should not; the field error tells where. Report it."},
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -113,6 +113,18 @@
 	}
 }
 
+// Release answers a job as not run, if a is its current admission and none of its tasks may have been
+// started. The entry VM that waits for it stops before its caller's deadline.
+func (p *Pool) Release(now time.Time, a Admission) {
+	if j := p.jobs[a.Job]; j != nil && j.admission == a && !j.closed && !j.mayHaveStarted {
+		p.answer(now, j, Answer{Outcome: job.NotRun, Reason: "the entry VM that accepted it stops", RetryAfter: releaseRetryAfter})
+	}
+}
+
+// releaseRetryAfter is the retry delay for callers of an entry VM that stops: the load balancer sends them
+// to another one meanwhile.
+const releaseRetryAfter = time.Second
+
 // closeJob marks j as closed and stops the tasks that may run.
 func (p *Pool) closeJob(now time.Time, j *jobState) {
 	j.closed = true
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -54,6 +54,7 @@
 	mu           sync.Mutex // guards the fields below
 	pendingByRow map[routes.RowName]int
 	givenUpAt    map[job.ID]time.Time // jobs that dispatchers failed on
+	shutdown     shutdown
 }
 
 // PendingTotal returns the number of unanswered jobs of all rows on this VM.
@@ -102,6 +103,8 @@
 	deadline := startedAt.Add(r.RemainingWait)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	aborted, _ := g.shutdownState()
+	defer context.AfterFunc(aborted, cancel)()
 	dispatchersFailed := pool.Answer{Outcome: job.Abandoned, Reason: "dispatchers failed while they admitted it"}
 	if g.isGivenUp(startedAt, r.Job.ID) {
 		return dispatchersFailed
@@ -126,7 +129,7 @@
 		noLeaderSince = time.Time{}
 		spare, hasSpare := g.Knowledge.SelectSpareGroup(now, leader.Group)
 		r.CanOffload = hasSpare && !offloadTried && !r.MayBeRunning
-		result := g.forward(ctx, leader, changed, r)
+		result := g.forward(ctx, leader, changed, deadline, r)
 		if result.Answered && !result.Answer.TryElsewhere {
 			return result.Answer
 		}
@@ -195,15 +198,23 @@
 }
 
 // forward sends the job to the leader and waits for the answer, at most until another
-// claim supersedes the leader's.
-func (g *Gate) forward(ctx context.Context, leader group.Leader, changed <-chan struct{}, r pool.Request) group.ForwardResult {
+// claim supersedes the leader's. When [Gate.ReleaseWaiting] is called, the leader is asked to answer the
+// job unless it has started.
+func (g *Gate) forward(ctx context.Context, leader group.Leader, changed <-chan struct{}, deadline time.Time, r pool.Request) group.ForwardResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	number := g.lastCall.Add(1)
+	_, released := g.shutdownState()
 	go func() {
 		for {
 			select {
 			case <-ctx.Done():
 				return
+			case <-released:
+				if released = nil; g.endsBefore(deadline) {
+					g.Group.Release(ctx, leader, number)
+				}
+				continue
 			case <-changed:
 			}
 			var current group.Leader
@@ -212,7 +223,7 @@
 			}
 		}
 	}()
-	return g.Group.Forward(ctx, leader, g.lastCall.Add(1), r)
+	return g.Group.Forward(ctx, leader, number, r)
 }
 
 // supersedes reports whether current leads in the place of leader. A leader whose heartbeats
--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"tamarackpin.example/internal/code"
+	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/vm"
@@ -62,6 +64,19 @@
 	return ForwardResult{MayBeRunning: true, DispatcherFailed: panicked, Err: err}
 }
 
+// Release asks a leader to answer a forwarded job as not run, unless it may have been started. number is
+// that of the call of Forward.
+func (g *Group) Release(ctx context.Context, to Leader, number uint64) {
+	t := Ticket{g.self.VM, g.self.Incarnation, number}
+	if to.VM == g.self.VM {
+		g.enqueueRelease(ctx, t)
+		return
+	}
+	if err := g.config.Mesh.Notify(ctx, to.VM, report.UseForward, methodRelease, t); err != nil {
+		g.config.Log.Debug("a job was not released", zap.String("vm", string(to.VM)), event.Err(err))
+	}
+}
+
 // recordAnswer records that another VM answered a job as the leader of its group.
 func (g *Group) recordAnswer(from vm.ID, at time.Time) {
 	g.answerMu.Lock()
--- a/tamarackpin/internal/group/state.go
+++ b/tamarackpin/internal/group/state.go
@@ -77,3 +77,13 @@
 	}
 	return true
 }
+
+// release has the pool answer the job of a waiter if it has not started, and reports whether the waiter is
+// there. A job that another gate waits for as well goes on.
+func (s *groupState) release(now time.Time, t Ticket) bool {
+	a, waits := s.admissions[t]
+	if waits && s.pool != nil && len(s.waiters[a]) == 1 {
+		s.pool.Release(now, a)
+	}
+	return waits
+}
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -16,6 +16,7 @@
 const (
 	methodRun        peer.Method = "group.run"
 	methodWithdraw   peer.Method = "group.withdraw"
+	methodRelease    peer.Method = "group.release"
 	methodExchange   peer.Method = "group.exchange"
 	methodPing       peer.Method = "group.ping"
 	methodCrashes    peer.Method = "group.crashes"
@@ -95,6 +96,10 @@
 		g.enqueueWithdrawal(ctx, w)
 		return struct{}{}, nil
 	})
+	peer.Handle(x, methodRelease, func(ctx context.Context, _ vm.ID, t Ticket) (struct{}, error) {
+		g.enqueueRelease(ctx, t)
+		return struct{}{}, nil
+	})
 }
 
 // runJob submits a job to the pool and waits for its answer. When ctx is done the job is
@@ -145,6 +150,21 @@
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.handleWithdrawal(now, w) })
 }
 
+// enqueueRelease has the goroutine of Run release a job that a gate forwarded: it is answered as not run,
+// unless it may have been started.
+func (g *Group) enqueueRelease(ctx context.Context, t Ticket) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	// If the queue is full, the job stays until the gate withdraws it.
+	_ = g.ring.Put(ctx, func(g *Group, now time.Time) {
+		for _, s := range g.groups {
+			if s.release(now, t) {
+				return
+			}
+		}
+	})
+}
+
 // admit submits a job to its group's pool. It reports false if this VM does not lead the
 // group or the job was withdrawn before it arrived.
 func (g *Group) admit(now time.Time, req forwardRequest, done chan result) bool {
--- a/tamarackpin/internal/node/run.go
+++ b/tamarackpin/internal/node/run.go
@@ -23,6 +23,9 @@
 	// second failure. If it has no other VM it goes on sending; jobs after the notice
 	// are rejected, since they might not end before the process exits.
 	drainNotice = 2300 * time.Millisecond
+	// abortTime is the part of shutdownMargin in which the jobs that are left at the limit are
+	// answered, as not run or as abandoned.
+	abortTime = 300 * time.Millisecond
 	// drainPollInterval is how often shutdown checks for unanswered jobs.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -100,8 +103,9 @@
 
 // shutdown reports that this VM isn't ready, gives up leadership, waits until the
 // load balancer sends no new jobs and the accepted ones are answered, and then stops
-// the servers and the background goroutines. It returns [ErrCutOff] if unanswered
-// jobs were left at the limit.
+// the servers and the background goroutines. Jobs that can't be answered within the limit are
+// answered as not run at once or, if they may have been started, as abandoned at the limit. It
+// returns [ErrCutOff] if jobs were left unanswered nevertheless.
 func (n *Node) shutdown(services []service) error {
 	startedAt := time.Now()
 	limit, cancel := context.WithDeadline(context.Background(), startedAt.Add(n.settings.ShutdownLimit.Std()-shutdownMargin))
@@ -110,31 +114,45 @@
 	n.draining.Store(true)
 	n.Knowledge.SetDraining()
 	if n.group != nil {
+		endsAt, _ := limit.Deadline()
+		n.Gate.ReleaseWaiting(endsAt)
 		n.group.Drain(limit)
-	}
-	if n.group != nil {
 		sleep(limit, drainNotice)
+		n.refusing.Store(true)
+		n.Gate.ReleaseWaiting(endsAt)
 	}
 	n.refusing.Store(true)
-	for n.unansweredJobs() > 0 && limit.Err() == nil {
-		sleep(limit, drainPollInterval)
+	n.awaitAnswers(limit)
+	abandoned := n.unansweredJobs()
+	end, cancelEnd := context.WithTimeout(context.Background(), abortTime)
+	defer cancelEnd()
+	if abandoned > 0 {
+		n.Gate.Abort()
+		n.awaitAnswers(end)
 	}
 	unanswered := n.unansweredJobs()
 	for _, s := range services {
 		if s.server != nil {
-			_ = s.server.Shutdown(limit) // unanswered jobs are counted above
+			_ = s.server.Shutdown(end) // unanswered jobs are counted above
 		}
 	}
 	n.cancel()
 	n.mesh.Close()
 	n.background.Wait()
-	event.Log(n.log, event.ShutdownEnded, zap.Duration("took", time.Since(startedAt)), zap.Int64("cut_off", unanswered))
+	event.Log(n.log, event.ShutdownEnded, zap.Duration("took", time.Since(startedAt)), zap.Int64("abandoned", abandoned), zap.Int64("cut_off", unanswered))
 	if unanswered > 0 {
 		return ErrCutOff
 	}
 	return nil
 }
 
+// awaitAnswers waits until all jobs are answered or ctx is done.
+func (n *Node) awaitAnswers(ctx context.Context) {
+	for n.unansweredJobs() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainPollInterval)
+	}
+}
+
 // unansweredJobs returns the number of jobs that this VM's gate accepted and has not
 // answered; 0 on a VM without callers.
 func (n *Node) unansweredJobs() int64 {
