A DELETE cancels a pending job

PROTOCOL: "DELETE cancels the job and returns 2xx or 410. A 410 response means that no such job exists." Cause: jobs that need no store were never looked up. Change: the entry VM that is asked cancels the job, or asks the other entry VMs. The gate that holds it withdraws it and answers its POST with the state cancelled. 410 means that no gate holds it; 503 that one that may could not be asked.

--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -18,6 +18,7 @@
 	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/tamarackpin/internal/fleet"
 	"tamarackpin.example/tamarackpin/internal/group"
+	"tamarackpin.example/tamarackpin/internal/peer"
 )
 
 const (
@@ -47,6 +48,7 @@
 	Knowledge *fleet.Knowledge
 	OnAnswer  func(routes.RowName, job.Outcome, time.Duration) // called with each answer and the time it took
 	Log       *zap.Logger
+	Mesh      *peer.Mesh // to cancel jobs that other entry VMs hold
 
 	pending  atomic.Int64
 	lastCall atomic.Uint64
@@ -55,6 +57,7 @@
 	pendingByRow map[routes.RowName]int
 	givenUpAt    map[job.ID]time.Time // jobs that dispatchers failed on
 	shutdown     shutdown
+	cancels      map[job.ID][]*context.CancelCauseFunc // of the pending jobs
 }
 
 // PendingTotal returns the number of unanswered jobs of all rows on this VM.
@@ -87,7 +90,10 @@
 	g.addPending(r.Row, 1)
 	defer g.addPending(r.Row, -1)
 	startedAt := time.Now()
-	a := g.run(ctx, startedAt, r)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer g.holdCancel(r.Job.ID, cancel)()
+	a := answerCancelled(ctx, g.run(ctx, startedAt, r))
 	a.Job = r.Job.ID
 	g.OnAnswer(r.Row, a.Outcome, time.Since(startedAt))
 	id := event.JobAnswered
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/report"
@@ -94,7 +95,8 @@
 			Knowledge: n.Knowledge, Syncer: n.syncer, Mesh: n.mesh, Log: log,
 			LeaseMax: s.LeaseMax.Std(), StopMax: s.StopMax.Std(), Call: a.Order,
 		}, &n.mux)
-		n.Gate = &gate.Gate{Group: n.group, Knowledge: n.Knowledge, Log: log, OnAnswer: n.metrics.Job}
+		n.Gate = &gate.Gate{Group: n.group, Knowledge: n.Knowledge, Log: log, Mesh: n.mesh, OnAnswer: n.metrics.Job}
+		n.Gate.Register(&n.mux)
 	}
 	if self.Control {
 		n.Keeper, err = keeper.New(keeper.Config{Settings: s, Knowledge: n.Knowledge, Mesh: n.mesh, Log: log}, &n.mux)
@@ -218,3 +220,11 @@
 	}
 	return n.Gate.Pending(row)
 }
+
+// Cancel cancels a pending job, see [gate.Gate.Cancel]; a VM without callers finds none.
+func (n *Node) Cancel(ctx context.Context, id job.ID) (found bool, err error) {
+	if n.Gate == nil {
+		return false, nil
+	}
+	return n.Gate.Cancel(ctx, id)
+}
