--- a/internal/pool/handover_test.go
+++ b/internal/pool/handover_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -229,3 +230,19 @@
 		}
 	}
 }
+
+// TestUnguardedWorkersAreNotOverfilledAcrossHandovers runs the schedules with handovers and with workers that
+// start whatever they are ordered to, and whose capacity shrinks and grows meanwhile.
+func TestUnguardedWorkersAreNotOverfilledAcrossHandovers(t *testing.T) {
+	checkHandoverSchedules(t, func(seed uint64) (map[string]int, error) {
+		sim := newHandoverSimulation(seed)
+		sim.capacities = rand.New(rand.NewPCG(seed, 2))
+		for range handoverSteps {
+			sim.shrinkOrGrow()
+			if err := cmp.Or(sim.step(), sim.overfilled); err != nil {
+				return sim.stats, err
+			}
+		}
+		return sim.stats, nil
+	})
+}
