A VM that restarts with its clock set back is heard

Change: a lower incarnation follows one that was not heard for 5 s. A delayed message of an earlier process arrives while the present one is heard.

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -441,3 +441,20 @@
 		t.Errorf("it stepped down %s after its last contact, want %s at most", took, isolationTimeout+tickEvery)
 	}
 }
+
+// TestPeerThatRestartsWithItsClockSetBack: the heartbeats of a process whose incarnation is lower than that
+// of the one before, as its VM's clock was set back, were ignored for good: its claims counted as those of a dead VM.
+func TestPeerThatRestartsWithItsClockSetBack(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	l := New(now, vm.Presence{VM: vmID(0), Incarnation: 1})
+	l.RecordHeartbeat(now, vm.Presence{VM: vmID(1), Incarnation: 5000, Draining: true})
+	restarted := vm.Presence{VM: vmID(1), Incarnation: 3000}
+	for range int((vm.IncarnationTimeout + time.Second) / tickInterval) {
+		now = now.Add(tickInterval)
+		l.RecordHeartbeat(now, restarted)
+	}
+	l.RecordClaim(now, vmID(1), Claim{VM: vmID(1), Incarnation: restarted.Incarnation, Fence: 1 << 60})
+	if leader, led := l.Leader(now); leader != vmID(1) || !led || l.NeedsLeader(now) {
+		t.Errorf("leader %q, alive: %v; want the restarted VM", leader, led)
+	}
+}
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -120,9 +120,10 @@
 }
 
 // RecordHeartbeat records a heartbeat of a peer. Heartbeats of an earlier
-// incarnation are ignored.
+// incarnation are ignored, see [vm.IncarnationTimeout].
 func (l *Leadership) RecordHeartbeat(now time.Time, p vm.Presence) {
-	if p.VM == l.self.VM || p.Incarnation < l.peers[p.VM].Incarnation {
+	known := l.peers[p.VM]
+	if p.VM == l.self.VM || p.Incarnation < known.Incarnation && now.Sub(known.LastSeen) < vm.IncarnationTimeout {
 		return
 	}
 	l.peers[p.VM] = Peer{p, now}
--- a/internal/vm/presence.go
+++ b/internal/vm/presence.go
@@ -55,12 +55,20 @@
 // partitions that the platform names, so that what was cut is found again.
 const rosterKeep = 90 * time.Second
 
+// IncarnationTimeout is how long an incarnation of a VM is unheard before a lower one may follow it. An
+// incarnation is the time of day at which a process started, on a clock that may have been set back
+// since the one before. A delayed message of an earlier process arrives while the present one is heard.
+const IncarnationTimeout = 5 * time.Second
+
 // Observe takes in that a VM said this of itself age ago, and reports whether
-// that is new.
+// that is new. What an earlier incarnation said is ignored.
 func (r *Roster) Observe(now time.Time, p Presence, age time.Duration) bool {
 	old, known := r.vms[p.VM]
-	if known && p.Incarnation < old.Incarnation {
-		return false
+	if known && p.Incarnation != old.Incarnation {
+		later := now.Add(-age).Sub(old.Heard)
+		if later <= 0 || p.Incarnation < old.Incarnation && later < IncarnationTimeout {
+			return false
+		}
 	}
 	if r.vms == nil {
 		r.vms = make(map[ID]Present)
