A graceful stop waits for requests that are under way until its limit

Change: they get the time up to the limit and 0.3 s beyond it, in which jobs that are left are answered. The answer to such a job says that the entry VM stops. Evidence: TestStopWaitsForRequests failed with the code of before (the stop did not wait) and passes 3 of 3 times now.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -206,8 +206,8 @@
 	p.scheduleTasks(now)
 }
 
-// handleRestart handles that the present incarnation of a worker is that of rec, another one than before. The new incarnation has none of
-// the previous one's runs, but may execute orders still in flight and does not know
+// handleRestart handles that another incarnation of a worker is the present one, that of rec. It has none
+// of the previous one's runs, but may execute orders still in flight and does not know
 // of earlier stops. So acknowledged tasks are requeued, and those whose start got no reply
 // yet are stopped anew. It is queried, so that it lists what late orders have started there
 // and refuses the orders of earlier dispatchers from then on.
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -155,6 +155,9 @@
 			return dispatchersFailed
 		}
 		if ctx.Err() != nil || !wait(ctx, nil, retryInterval) {
+			if aborted.Err() != nil {
+				return gateAnswer(r, "the entry VM that accepted it stops")
+			}
 			return gateAnswer(r, "the caller left or its time is over")
 		}
 	}
--- a/tamarackpin/internal/node/run.go
+++ b/tamarackpin/internal/node/run.go
@@ -113,8 +113,8 @@
 	event.Log(n.log, event.ShutdownBegun, zap.Int64("in_hand", n.unansweredJobs()))
 	n.draining.Store(true)
 	n.Knowledge.SetDraining()
+	endsAt, _ := limit.Deadline()
 	if n.group != nil {
-		endsAt, _ := limit.Deadline()
 		n.Gate.ReleaseWaiting(endsAt)
 		n.group.Drain(limit)
 		sleep(limit, drainNotice)
@@ -124,7 +124,7 @@
 	n.refusing.Store(true)
 	n.awaitAnswers(limit)
 	abandoned := n.unansweredJobs()
-	end, cancelEnd := context.WithTimeout(context.Background(), abortTime)
+	end, cancelEnd := context.WithDeadline(context.Background(), endsAt.Add(abortTime))
 	defer cancelEnd()
 	if abandoned > 0 {
 		n.Gate.Abort()
