--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -206,55 +206,6 @@
 	p.scheduleTasks(now)
 }
 
-// handleRestart handles that another incarnation of a worker is the present one, that of rec. It has none
-// of the previous one's runs, but may execute orders still in flight and does not know
-// of earlier stops. So acknowledged tasks are requeued, and those whose start got no reply
-// yet are stopped anew. It is queried, so that it lists what late orders have started there
-// and refuses the orders of earlier dispatchers from then on.
-func (p *Pool) handleRestart(now time.Time, w *workerState, rec worker.Record) {
-	p.crashes.ObserveIncarnation(now, rec.Worker, rec.Incarnation)
-	p.recordOrphanLosses(now, w, crash.Restarted)
-	var unackedTasks []*task
-	for _, t := range assignedTasks(w) {
-		if t.ackedAt.Before(now) && !(t.startInherited && t.ackedAt.IsZero()) { // it may have run in the incarnation that ended
-			p.recordLoss(now, w, t, crash.Restarted)
-		}
-		if t.ackedAt.IsZero() {
-			p.addLateStart(now, t.lateStart())
-			unackedTasks = append(unackedTasks, t)
-			continue
-		}
-		// An ackedAt equal to now is of the new incarnation: handleNewIncarnation.
-		if t.ackedAt.Before(now) {
-			p.requeue(t)
-			p.forgetIfDone(t.job)
-		}
-	}
-	lateOrdersUntil := w.lateOrdersUntil
-	if w.renewPending {
-		lateOrdersUntil = later(lateOrdersUntil, w.renewSentAt.Add(lateOrderLimit))
-	}
-	for _, t := range unackedTasks {
-		lateOrdersUntil = later(lateOrdersUntil, t.orderedAt.Add(lateOrderLimit))
-	}
-	*w = workerState{
-		Record: rec, tasks: w.tasks, orphans: make(map[job.Task]job.Run), free: w.free.Add(rec.Capacity.Sub(w.Capacity)),
-		// The clock starts anew: a lease deadline on the predecessor's clock lies
-		// far ahead on that of the new incarnation.
-		lateOrdersUntil: lateOrdersUntil, leasesUntil: lateOrdersUntil,
-		ended: append([]worker.Incarnation{w.Incarnation}, w.ended[:min(len(w.ended), maxEnded-1)]...),
-	}
-	p.estimator.ForgetWorker(rec.Worker)
-	for _, t := range unackedTasks {
-		t.stopAckedAt, t.lapsesAt, t.startInherited = time.Time{}, now.Add(lateOrderLimit), true
-		p.stopTask(now, t)
-	}
-}
-
-// maxEnded bounds workerState.ended: replies and announcements of earlier incarnations are no longer on
-// their way.
-const maxEnded = 8
-
 const (
 	// maxOrderDelay is how late an order may be carried out, as the platform states it.
 	maxOrderDelay = 12 * time.Second
