Log what a dispatcher does not know after a takeover

The users' record of two runs at once (docs/incidents/unlisted-run-started-again.md) leaves five hypotheses that today's events cannot tell apart: nothing said which workers had not listed their runs when a task was started, whether a dispatcher knew the worker of a run that it found, and how old its news of each control VM was.

No decision changes. TestTakeoverIsLogged; packages pool, group and fleet pass.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,6 +65,8 @@
 	WorkerLost        ID = 815
 	StartUnanswered   ID = 816
 	RunFound          ID = 817
+	RunsListed        ID = 818
+	StartUnlisted     ID = 819
 )
 
 // Entry describes one event.
@@ -126,6 +128,8 @@
 	{WorkerLost, zapcore.WarnLevel, "worker lost under a task", "The worker was lost with this task; `evidence` tells whether it crashed (refused: its host refuses connections; restarted: a later incarnation was seen), was only silent (survived), or neither is known yet (silent). Many lines for one task say that it crashes its workers; many tasks on one worker, that the worker is at fault."},
 	{StartUnanswered, zapcore.WarnLevel, "start without a reply", "The worker may carry it out until 13.5 s after it was sent, in this incarnation or a later one of its name; the task starts on no other worker before."},
 	{RunFound, zapcore.WarnLevel, "run found that was not ordered", "The worker lists a run that this dispatcher did not order there: one of the dispatcher before, or a late start. With `assigned_to` the task is on another worker as well: look for event 816 of the task, and at the incarnation. Report it."},
+	{RunsListed, zapcore.InfoLevel, "runs of earlier dispatchers known", "Written once after a takeover: every worker has listed its runs, or `unlisted` names those that have not (of `unlisted_count`, at most eight) and the leases of the earlier dispatchers are over. `workers_incomplete` says that this VM may not know all workers."},
+	{StartUnlisted, zapcore.WarnLevel, "job started before all workers listed their runs", "After a takeover the dispatcher ordered a task while the workers in `unlisted` had not listed their runs. If one of them runs the same task, 817 names it."},
 }
 
 var byID = func() map[ID]Entry {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -160,7 +160,9 @@
 	Run         job.Run
 	Worker      worker.ID
 	Incarnation worker.Incarnation
-	AssignedTo  worker.ID // worker on which this Pool has the task; empty if none
+	AssignedTo  worker.ID     // worker on which this Pool has the task; empty if none
+	KnownFor    time.Duration // how long this Pool has known the worker
+	AfterStart  time.Duration // time since the takeover
 }
 
 // TakeFound returns the runs found since its last call.
@@ -179,7 +181,7 @@
 func (p *Pool) UpdateWorker(now time.Time, rec worker.Record) {
 	w := p.workers[rec.Worker]
 	if w == nil {
-		w = &workerState{tasks: make(map[job.Task]*task), orphans: make(map[job.Task]job.Run)}
+		w = &workerState{tasks: make(map[job.Task]*task), orphans: make(map[job.Task]job.Run), knownSince: now}
 		p.workers[rec.Worker] = w
 		at, _ := slices.BinarySearchFunc(p.byID, rec.Worker, func(w *workerState, id worker.ID) int { return cmp.Compare(w.Worker, id) })
 		p.byID = slices.Insert(p.byID, at, w)
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -103,7 +103,7 @@
 		listed[t.Task] = t.Run
 	}
 	p.reconcile(now, w, r, listed)
-	w.runsKnown = true
+	w.runsKnown, w.listed = true, true
 	for _, row := range r.Running {
 		if t := w.tasks[row.Task]; t != nil && t.run == row.Run && t.phase == running {
 			p.checkProgress(now, w, t, row.Percent)
@@ -135,7 +135,7 @@
 			continue
 		}
 		if _, isKnown := known[name]; !isKnown {
-			p.recordFound(w, row)
+			p.recordFound(now, w, row)
 		}
 		w.orphans[name] = row.Run
 		if j := p.jobs[name.Job]; j != nil && !j.closed && !p.newlyDivided(now) {
@@ -150,8 +150,8 @@
 }
 
 // recordFound records a run that w lists and that is not assigned to it.
-func (p *Pool) recordFound(w *workerState, row RunningTask) {
-	f := FoundRun{Task: row.Task, Run: row.Run, Worker: w.Worker, Incarnation: w.Incarnation}
+func (p *Pool) recordFound(now time.Time, w *workerState, row RunningTask) {
+	f := FoundRun{Task: row.Task, Run: row.Run, Worker: w.Worker, Incarnation: w.Incarnation, KnownFor: now.Sub(w.knownSince), AfterStart: now.Sub(p.startedAt)}
 	if other := p.assignment(row.Task); other != nil {
 		f.AssignedTo = other.Worker
 	}
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -159,6 +159,8 @@
 	tasks    map[job.Task]*task   // assigned, whatever their phase; their capacity is reserved
 	orphans  map[job.Task]job.Run // runs listed that are not assigned here, such as those of jobs not forwarded yet
 
+	knownSince      time.Time            // when the Pool first heard of the worker, in any incarnation
+	listed          bool                 // this incarnation has listed its runs since the takeover
 	lateOrdersUntil time.Time            // until then, late orders may extend leases on a new incarnation
 	roomRefusals    int                  // number of starts refused for want of room since a run ended or it announced itself
 	roomRetryAt     time.Time            // it gets no new task before, after such a refusal
--- a/tamarackpin/internal/fleet/syncer.go
+++ b/tamarackpin/internal/fleet/syncer.go
@@ -43,6 +43,9 @@
 	table       tableFetch
 	seeds       atomic.Pointer[[]vm.ID]
 	lastContact atomic.Pointer[time.Time] // last reply of any control VM, with a monotonic reading
+
+	mu       sync.Mutex // guards contacts
+	contacts map[vm.ID]time.Time
 }
 
 // SetSeeds sets the control VMs that the settings name. It is called before Run
@@ -136,6 +139,7 @@
 		}
 		now := time.Now()
 		s.RecordContact(now)
+		s.recordReply(now, id)
 		s.Knowledge.merge(now, reply)
 		s.TableAnnounced(ctx, id, reply.Version)
 		req.CursorIncarnation, req.VMCursor, req.WorkerCursor = reply.Self.Incarnation, reply.VMCursor, reply.WorkerCursor
@@ -159,6 +163,30 @@
 // RecordContact records that a control VM replied.
 func (s *Syncer) RecordContact(at time.Time) { s.lastContact.Store(&at) }
 
+// recordReply records that a control VM replied.
+func (s *Syncer) recordReply(at time.Time, id vm.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.contacts == nil {
+		s.contacts = make(map[vm.ID]time.Time)
+	}
+	s.contacts[id] = at
+}
+
+// ContactAges returns the age in seconds of the last reply of each control VM that is known now, for the
+// log; -1 stands for no reply.
+func (s *Syncer) ContactAges(now time.Time) map[vm.ID]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ages := make(map[vm.ID]float64)
+	for _, id := range s.controlVMs() {
+		if ages[id] = -1; !s.contacts[id].IsZero() {
+			ages[id] = now.Sub(s.contacts[id]).Seconds()
+		}
+	}
+	return ages
+}
+
 // LastContact returns when a control VM last replied, or the zero time.
 func (s *Syncer) LastContact() time.Time {
 	if at := s.lastContact.Load(); at != nil {
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -258,7 +258,7 @@
 		if s.pool == nil {
 			continue
 		}
-		g.flush(ctx, s)
+		g.flush(ctx, now, s)
 		if s.pool.Fenced() {
 			s.leadership.RecordRefusal(now, s.leadership.Claim().Fence)
 		}
@@ -273,7 +273,7 @@
 
 // flush sends the pending orders and answers of a pool. One whose leadership was lost orders
 // nothing more.
-func (g *Group) flush(ctx context.Context, s *groupState) {
+func (g *Group) flush(ctx context.Context, now time.Time, s *groupState) {
 	orders, answers := s.pool.TakePending()
 	if !s.leadership.IsLeader() {
 		orders = nil
@@ -283,8 +283,9 @@
 	}
 	g.logAnswers(s, answers)
 	s.deliverAnswers(answers)
-	g.logStarts(s, orders)
+	g.logStarts(now, s, orders)
 	g.logFound(s)
+	g.logRunsKnown(now, s)
 	if len(orders)+len(answers) > 0 {
 		g.updateCounts()
 	}
--- a/tamarackpin/internal/group/log.go
+++ b/tamarackpin/internal/group/log.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,7 +46,11 @@
 
 // logStarts logs each start order of the first task of a step, repeated runs included, and
 // every start order of a job that no gate waits for.
-func (g *Group) logStarts(s *groupState, orders []pool.Order) {
+func (g *Group) logStarts(now time.Time, s *groupState, orders []pool.Order) {
+	if !slices.ContainsFunc(orders, func(o pool.Order) bool { return o.Kind == pool.StartOrder }) {
+		return
+	}
+	takeover := s.pool.Takeover(now)
 	for _, o := range orders {
 		if o.Kind != pool.StartOrder {
 			continue
@@ -60,10 +65,42 @@
 			id = event.StartUnclaimed
 		case o.Task.Index > 0:
 			continue
+		case len(takeover.Unlisted) > 0 || takeover.WorkersIncomplete && !takeover.LeasesOver:
+			id = event.StartUnlisted
+		}
+		fields := []zap.Field{
+			zap.String("job", string(o.Task.Job)), zap.Int("step", o.Task.Step), zap.Int("index", o.Task.Index),
+			zap.Int("run", int(o.Run)), zap.String("worker", string(o.Worker)), zap.Int64("fence", int64(o.Fence)), zap.Int("gates", gates),
 		}
-		event.Log(g.config.Log, id, zap.String("job", string(o.Task.Job)), zap.Int("step", o.Task.Step), zap.Int("index", o.Task.Index),
-			zap.Int("run", int(o.Run)), zap.String("worker", string(o.Worker)), zap.Int64("fence", int64(o.Fence)), zap.Int("gates", gates))
+		if id == event.StartUnlisted {
+			fields = append(fields, takeoverFields(takeover)...)
+		}
+		event.Log(g.config.Log, id, fields...)
+	}
+}
+
+// maxLoggedWorkers bounds the names of workers in one line.
+const maxLoggedWorkers = 8
+
+// takeoverFields returns the fields that say what is known of the runs of earlier dispatchers.
+func takeoverFields(t pool.Takeover) []zap.Field {
+	return []zap.Field{
+		zap.Duration("after_takeover", t.Since), zap.Int("workers", t.Workers), zap.Bool("workers_incomplete", t.WorkersIncomplete),
+		zap.Int("unlisted_count", len(t.Unlisted)), zap.Any("unlisted", t.Unlisted[:min(len(t.Unlisted), maxLoggedWorkers)]),
+	}
+}
+
+// logRunsKnown logs, once after a takeover, that the runs of earlier dispatchers are known or over.
+func (g *Group) logRunsKnown(now time.Time, s *groupState) {
+	if s.runsKnownLogged {
+		return
+	}
+	t := s.pool.Takeover(now)
+	if !t.RunsKnown() || t.Workers == 0 && !t.LeasesOver {
+		return
 	}
+	s.runsKnownLogged = true
+	event.Log(g.config.Log, event.RunsListed, append(takeoverFields(t), zap.Int64("fence", int64(s.leadership.Claim().Fence)))...)
 }
 
 // logLosses logs each task under which a worker was lost, and each change of the evidence.
@@ -87,6 +124,7 @@
 	for _, f := range s.pool.TakeFound() {
 		event.Log(g.config.Log, event.RunFound, zap.String("job", string(f.Task.Job)), zap.Int("step", f.Task.Step), zap.Int("index", f.Task.Index),
 			zap.Int("run", int(f.Run)), zap.String("worker", string(f.Worker)), zap.Int64("incarnation", int64(f.Incarnation)),
+			zap.Duration("worker_known_for", f.KnownFor), zap.Duration("after_takeover", f.AfterStart),
 			zap.String("assigned_to", string(f.AssignedTo)), zap.Int64("fence", int64(s.leadership.Claim().Fence)))
 	}
 }
--- a/tamarackpin/internal/group/state.go
+++ b/tamarackpin/internal/group/state.go
@@ -16,6 +16,8 @@
 	waiters    map[pool.Admission][]waiter
 	admissions map[Ticket]pool.Admission // the admission that each waiter waits for
 	cursor     worker.Cursor             // position up to which the pool has received workers
+	// runsKnownLogged reports that it was logged that the pool knows the runs of earlier dispatchers.
+	runsKnownLogged bool
 }
 
 func newGroupState(l *lead.Leadership) *groupState {
--- /dev/null
+++ b/tamarackpin/internal/group/takeover_log_test.go
@@ -0,0 +1,41 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/worker"
+)
+
+// TestTakeoverIsLogged: the log says once, after a takeover, whether all workers have listed their
+// runs, and which have not.
+func TestTakeoverIsLogged(t *testing.T) {
+	g, _ := newLeadingGroup(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	g.config.Log = zap.New(core)
+	lines := func() []observer.LoggedEntry {
+		return logs.FilterField(zap.Int("event", int(event.RunsListed))).All()
+	}
+	now := time.Now()
+	s := g.groups[0]
+	s.pool = pool.New(now, pool.Config{Fence: s.leadership.Claim().Fence, LeaseMax: time.Second, StopMax: 50 * time.Millisecond})
+	s.pool.UpdateWorker(now, worker.Record{AnnouncedAt: now, Announcement: worker.Announcement{Worker: "w1", Incarnation: 1, Sequence: 1, Service: "s", Address: "10.0.0.9:1"}})
+	g.logRunsKnown(now, s)
+	if takeover := s.pool.Takeover(now); takeover.RunsKnown() || len(takeover.Unlisted) != 1 || len(lines()) > 0 {
+		t.Errorf("a worker has listed nothing, and the takeover is %+v, with the lines %v", takeover, lines())
+	}
+	g.addWorker(t, "w1")
+	g.applyDecisions(t.Context(), now)
+	if found := lines(); len(found) != 1 || found[0].ContextMap()["unlisted_count"] != int64(0) {
+		t.Errorf("lines after the worker has listed its runs: %v, want one without unlisted workers", found)
+	}
+	if takeover := s.pool.Takeover(now); !takeover.RunsKnown() {
+		t.Errorf("all workers have listed their runs, and the takeover is %+v", takeover)
+	}
+}
