After a takeover nothing starts until all workers have listed their runs

Cause: a dispatcher that had just taken over made only those jobs wait for the workers' lists that a gate reports as forwarded before. A lost gate takes that report with it. Its caller submits the job again 1.3 s later through another gate; the job counted as new and started at once, although a worker that had not listed its runs, or that the dispatcher did not know, could have it.

Change: the safe default is the other way round. In the first 1.5 s after a takeover, which outlasts every lease of an earlier dispatcher, nothing starts while a worker has not listed its runs or workers may be unknown (Pool.mayHaveUnknownRuns). Until then no job is answered as not run, refused or offered to another group, as neither would be true, and the group reports no free slots. The wait of forwarded jobs and that after a division are the same rule now. A dispatcher that gets to know all workers ends the wait (Pool.CompleteWorkers) in place of waiting it out.

TestResubmittedJobIsNotStartedBesideItsRun, TestNewJobWaitsForUnknownWorkers and TestJobWithUnknownRunIsNeitherRefusedNorOffloaded fail on the code of before.

Price: with a worker that does not reply, 1.5 s after a takeover. TestAdoptedRunNeedsItsOwnStop had its job start beside an unlisted worker; it now starts after the wait, and the rest of the test is as it was.

--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -12,20 +12,12 @@
 func (p *Pool) Submit(now time.Time, r Request) Admission {
 	if j := p.jobs[r.Job.ID]; j != nil && !j.closed {
 		j.callerDeadline = later(j.callerDeadline, now.Add(r.RemainingWait))
-		if r.MayBeRunning && !j.mayHaveStarted {
-			j.mayHaveStarted, j.awaitListsUntil = true, p.startedAt.Add(recoveryDelay)
-		}
+		j.mayHaveStarted = j.mayHaveStarted || r.MayBeRunning
 		return j.admission
 	}
 	p.lastAdmission++
 	j := &jobState{Request: r, admission: Admission{r.Job.ID, p.lastAdmission}, arrivedAt: now.Add(-r.Age), callerDeadline: now.Add(r.RemainingWait)}
-	if r.MayBeRunning {
-		j.mayHaveStarted = true
-		j.awaitListsUntil = p.startedAt.Add(recoveryDelay)
-	}
-	if p.newlyDivided(now) {
-		j.mayHaveStarted, j.earliestStart = true, p.config.DividedAt.Add(recoveryDelay)
-	}
+	j.mayHaveStarted = r.MayBeRunning || p.newlyDivided(now)
 	j.expectedWork = j.criticalPath(func(s *job.Step) time.Duration { return p.estimator.Work(r.Row, s) })
 	j.objectiveDeadline = j.arrivedAt.Add(time.Duration(r.Stretch*float64(j.expectedWork)) + r.Latency)
 	createTasks(j)
@@ -116,7 +108,7 @@
 // Release answers a job as not run, if a is its current admission and none of its tasks may have been
 // started. The entry VM that waits for it stops before its caller's deadline.
 func (p *Pool) Release(now time.Time, a Admission) {
-	if j := p.jobs[a.Job]; j != nil && j.admission == a && !j.closed && !j.mayHaveStarted {
+	if j := p.jobs[a.Job]; j != nil && j.admission == a && !j.closed && !p.mayHaveStarted(now, j) {
 		p.answer(now, j, Answer{Outcome: job.NotRun, Reason: "the entry VM that accepted it stops", RetryAfter: releaseRetryAfter})
 	}
 }
--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -146,7 +146,7 @@
 	}
 	for _, j := range late {
 		switch {
-		case j.mayHaveStarted:
+		case p.mayHaveStarted(now, j):
 			f.add(p, j)
 			continue
 		case j.Offloaded, j.CanOffload && now.Sub(j.arrivedAt) < j.objectiveDeadline.Sub(j.arrivedAt)/2:
@@ -168,6 +168,9 @@
 // Report returns the Fence and FreeSlots of the group; the caller fills in the rest.
 func (p *Pool) Report(now time.Time) Report {
 	r := Report{Fence: p.config.Fence}
+	if p.mayHaveUnknownRuns(now) {
+		return r
+	}
 	need, tasks := defaultNeed, 0
 	if queue := p.waitingJobs(); len(queue) > 0 {
 		need = meanNeed(queue)
@@ -240,7 +243,9 @@
 // callers' deadlines even if they took half the expected work. It is used while no
 // worker is eligible.
 func (p *Pool) refuseTooLate(now time.Time) {
-	tooLate := p.pendingJobs(func(j *jobState) bool { return !j.mayHaveStarted && now.Add(j.expectedWork/2).After(j.callerDeadline) })
+	tooLate := p.pendingJobs(func(j *jobState) bool {
+		return !p.mayHaveStarted(now, j) && now.Add(j.expectedWork/2).After(j.callerDeadline)
+	})
 	for _, j := range tooLate {
 		p.answer(now, j, Answer{Outcome: job.NotRun, Reason: "the caller leaves before the job could end", RetryAfter: minRetryAfter})
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -51,7 +51,7 @@
 	// before may be running on workers that now belong to other groups.
 	DividedAt time.Time
 	// WorkersIncomplete reports that the process has just started, or has not heard
-	// from a control VM lately, and may not know all workers.
+	// from a control VM lately, and may not know all workers, see [Pool.CompleteWorkers].
 	WorkersIncomplete bool
 	// Crashes has the workers that were lost under tasks, also under earlier
 	// dispatchers; nil means none. The Pool adds to it.
@@ -80,10 +80,9 @@
 	// offloaded is not forwarded again; its caller submits it there 1.3 s after the loss of
 	// the previous dispatcher, which is noticed after 0.7 s.
 	orphanGrace = 450 * time.Millisecond
-	// recoveryDelay is how long after a takeover a job that may be running
-	// somewhere waits for workers that have not listed their runs. The previous
-	// dispatcher learns within one renewal that it was fenced, and its leases last
-	// Config.LeaseMax at most, which is one second.
+	// recoveryDelay is how long after a takeover nothing starts while workers have not
+	// listed their runs. The previous dispatcher learns within one renewal that it was
+	// fenced, and its leases last Config.LeaseMax at most, which is one second.
 	recoveryDelay = 1500 * time.Millisecond
 	// minBackoff is the first backoff of a worker, during which it gets no new tasks,
 	// after it refused a start as unhealthy or invalid, or a run failed there. The
--- a/internal/pool/replay_test.go
+++ b/internal/pool/replay_test.go
@@ -54,6 +54,7 @@
 	slowdown      float64                      // time factor of the broken workers, or 0
 	hangs         bool                         // the broken workers never end a task
 	unresponsive  bool                         // the broken workers reply to nothing
+	takeover      bool                         // the dispatcher takes over at the start of the trace; else it has led before
 }
 
 func scaled(x float64) func(routes.RowName) float64 {
@@ -72,6 +73,7 @@
 	{name: "a sixth of the workers 6.5 times slower", rate: scaled(1), brokenWorkers: 3, slowdown: 6.5},
 	{name: "a tenth of the workers hangs", rate: scaled(1), brokenWorkers: 2, hangs: true},
 	{name: "a seventh of the workers unresponsive", rate: scaled(1), brokenWorkers: 2, unresponsive: true},
+	{name: "a takeover, a seventh of the workers unresponsive", rate: scaled(1), brokenWorkers: 2, unresponsive: true, takeover: true},
 }
 
 // replayJob is a job of a trace, with the true duration of each task on a worker of
@@ -458,6 +460,9 @@
 		list = append(list, replayResult{
 			naive: runReplays(p, func(time.Time) dispatcher { return newNaive() }),
 			pool: runReplays(p, func(now time.Time) dispatcher {
+				if !p.takeover {
+					now = now.Add(-recoveryDelay)
+				}
 				return New(now, Config{Fence: 1, LeaseMax: time.Second, StopMax: 50 * time.Millisecond})
 			}),
 		})
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -251,7 +251,7 @@
 func (p *Pool) expireJobs(now time.Time) {
 	for _, j := range p.pendingJobs(func(j *jobState) bool { return !now.Before(j.callerDeadline) }) {
 		outcome := job.NotRun
-		if j.mayHaveStarted {
+		if p.mayHaveStarted(now, j) {
 			outcome = job.Abandoned
 		}
 		p.answer(now, j, Answer{Outcome: outcome, Reason: "the caller's time is over", RetryAfter: time.Second})
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -10,7 +10,7 @@
 // scheduleTasks starts waiting tasks in the order of readyJobs while workers have
 // room. Most events free no room; nothing is sorted then.
 func (p *Pool) scheduleTasks(now time.Time) {
-	if p.fenced || len(p.jobs) == 0 {
+	if p.fenced || len(p.jobs) == 0 || p.newlyDivided(now) || p.mayHaveUnknownRuns(now) {
 		return
 	}
 	candidates := p.workersWithRoom(now)
@@ -68,7 +68,7 @@
 func (p *Pool) readyJobs(now time.Time) []readyJob {
 	var list []readyJob
 	for _, j := range p.jobs {
-		if !j.closed && j.hasWaitingTasks() && p.mayStart(now, j) {
+		if !j.closed && j.hasWaitingTasks() {
 			list = append(list, readyJob{j, j.queueClass(now)})
 		}
 	}
@@ -119,27 +119,6 @@
 	return 0
 }
 
-// mayStart reports whether tasks of j may start. A job that may be running
-// elsewhere waits until every worker has listed its runs, unless its incarnation is known to
-// have ended, or until awaitListsUntil.
-func (p *Pool) mayStart(now time.Time, j *jobState) bool {
-	if now.Before(j.earliestStart) {
-		return false
-	}
-	if !now.Before(j.awaitListsUntil) {
-		return true
-	}
-	if p.config.WorkersIncomplete {
-		return false // it may be running on an unknown worker
-	}
-	for _, w := range p.byID {
-		if !w.runsKnown && !w.Deregistered && !w.stale {
-			return false
-		}
-	}
-	return true
-}
-
 // scheduleJob starts the ready tasks of j, up to the first that gets no worker. It
 // always returns true: when a task gets no worker, a smaller one may still fit.
 func (p *Pool) scheduleJob(now time.Time, candidates []*workerState, j *jobState) bool {
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -1,29 +1,57 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"tamarackpin.example/internal/worker"
 )
 
+// mayHaveUnknownRuns reports whether a run that an earlier dispatcher ordered may go on without
+// this Pool knowing of it: on a worker that has not listed its runs since the takeover, or
+// on one that this Pool does not know. Any job may have such a run, also one that comes as
+// new: if its gate was lost, its caller submits it again through another one.
+// Once the leases of the earlier dispatchers are over there are none.
+func (p *Pool) mayHaveUnknownRuns(now time.Time) bool {
+	if now.Sub(p.startedAt) >= recoveryDelay {
+		return false
+	}
+	return p.config.WorkersIncomplete || slices.ContainsFunc(p.byID, (*workerState).unlisted)
+}
+
+// mayHaveStarted reports whether a task of j may have been started, so that j is neither answered
+// as not run nor offered to another group.
+func (p *Pool) mayHaveStarted(now time.Time, j *jobState) bool {
+	return j.mayHaveStarted || p.mayHaveUnknownRuns(now)
+}
+
+// unlisted reports whether w has not listed its runs since the takeover, and is not known to run
+// nothing.
+func (w *workerState) unlisted() bool { return !w.listed && !w.Deregistered && !w.stale }
+
+// CompleteWorkers tells the Pool that UpdateWorker was called with all workers that may have runs.
+func (p *Pool) CompleteWorkers(now time.Time) {
+	if p.config.WorkersIncomplete {
+		p.config.WorkersIncomplete = false
+		p.scheduleTasks(now)
+	}
+}
+
 // Takeover is what a Pool knows of the runs that earlier dispatchers ordered.
 type Takeover struct {
 	Since             time.Duration // since the takeover
 	Workers           int           // number of workers known
 	Unlisted          []worker.ID   // those that have not listed their runs since the takeover, unless they are known to run nothing
 	WorkersIncomplete bool          // there may be workers that are not known
-	LeasesOver        bool          // all leases that earlier dispatchers obtained have lapsed
-}
-
-// RunsKnown reports whether the Pool knows every run that may go on.
-func (t Takeover) RunsKnown() bool {
-	return t.LeasesOver || len(t.Unlisted) == 0 && !t.WorkersIncomplete
+	RunsKnown         bool          // the Pool knows every run that may go on
 }
 
 // Takeover returns what the Pool knows of the runs that earlier dispatchers ordered.
 func (p *Pool) Takeover(now time.Time) Takeover {
-	t := Takeover{Since: now.Sub(p.startedAt), Workers: len(p.byID), WorkersIncomplete: p.config.WorkersIncomplete}
-	t.LeasesOver = t.Since >= recoveryDelay
+	t := Takeover{
+		Since: now.Sub(p.startedAt), Workers: len(p.byID),
+		WorkersIncomplete: p.config.WorkersIncomplete, RunsKnown: !p.mayHaveUnknownRuns(now),
+	}
 	for _, w := range p.byID {
 		if w.unlisted() {
 			t.Unlisted = append(t.Unlisted, w.Worker)
@@ -31,7 +59,3 @@
 	}
 	return t
 }
-
-// unlisted reports whether w has not listed its runs since the takeover, and is not known to run
-// nothing.
-func (w *workerState) unlisted() bool { return !w.listed && !w.Deregistered && !w.stale }
--- /dev/null
+++ b/internal/pool/takeover_test.go
@@ -0,0 +1,102 @@
+package pool
+
+import (
+	"testing"
+	"time"
+)
+
+// takeOver returns a harness whose dispatcher has just taken over: w0 has listed no runs, and the first
+// query of w1, which is returned, has no reply yet.
+func takeOver(t *testing.T) (h *harness, unlisted Order) {
+	h = &harness{t: t, now: time.Unix(1000, 0)}
+	h.pool = New(h.now, Config{Fence: 2, LeaseMax: time.Second, StopMax: 50 * time.Millisecond})
+	h.announce("w0", 1)
+	h.announce("w1", 1)
+	for _, o := range h.ordersOfKind(RenewOrder) {
+		if o.Worker == "w0" {
+			h.reply(o, Reply{Done: true})
+		} else {
+			unlisted = o
+		}
+	}
+	return h, unlisted
+}
+
+// TestResubmittedJobIsNotStartedBesideItsRun: after a takeover a job arrives as new, since its gate was lost,
+// while a worker that runs it has not listed its runs. The dispatcher started it on another one (issue 47).
+func TestResubmittedJobIsNotStartedBesideItsRun(t *testing.T) {
+	h, unlisted := takeOver(t)
+	r := patientRequest(time.Second)
+	r.Job.ID = inheritedRun.Task.Job
+	h.pool.Submit(h.now, r)
+	h.advance(100 * time.Millisecond)
+	if list := h.ordersOfKind(StartOrder); len(list) > 0 {
+		t.Fatalf("starts before w1 has listed its runs: %+v", list)
+	}
+	h.reply(unlisted, Reply{Done: true, Running: []RunningTask{inheritedRun}})
+	h.advance(recoveryDelay)
+	if list := h.ordersOfKind(StartOrder); len(list) > 0 {
+		t.Errorf("starts beside the run on w1: %+v", list)
+	}
+	if task := h.pool.jobs[r.Job.ID].tasks[0]; task.worker == nil || task.worker.Worker != "w1" {
+		t.Errorf("task %+v, want it adopted on w1", task)
+	}
+}
+
+// TestNewJobsStartOnceRunsAreKnown: the wait after a takeover ends with the last list of runs, and in any
+// case when the leases of earlier dispatchers are over.
+func TestNewJobsStartOnceRunsAreKnown(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		h, unlisted := takeOver(t)
+		h.pool.Submit(h.now, patientRequest(time.Second))
+		if listed {
+			h.reply(unlisted, Reply{Done: true})
+		} else {
+			h.advance(recoveryDelay)
+		}
+		if list := h.ordersOfKind(StartOrder); len(list) != 1 {
+			t.Errorf("w1 has listed its runs: %v, starts %+v, want 1", listed, list)
+		}
+	}
+}
+
+// TestNewJobWaitsForUnknownWorkers: a dispatcher that may not know all workers starts no job, until it
+// knows them: one of them may run the job (issue 47).
+func TestNewJobWaitsForUnknownWorkers(t *testing.T) {
+	h := newHarness(t, 2)
+	h.pool.config.WorkersIncomplete = true
+	h.pool.Submit(h.now, patientRequest(time.Second))
+	h.advance(100 * time.Millisecond)
+	if list := h.ordersOfKind(StartOrder); len(list) > 0 {
+		t.Errorf("starts although workers may be unknown: %+v", list)
+	}
+	h.pool.CompleteWorkers(h.now)
+	if list := h.ordersOfKind(StartOrder); len(list) != 1 {
+		t.Errorf("starts once all workers are known: %+v, want 1", list)
+	}
+}
+
+// TestJobWithUnknownRunIsNeitherRefusedNorOffloaded: while a worker may run a job unknown to the dispatcher,
+// neither "not run" nor an offer to another group, which would start it, is true.
+func TestJobWithUnknownRunIsNeitherRefusedNorOffloaded(t *testing.T) {
+	h, unlisted := takeOver(t)
+	late := request("late", 2, time.Second)
+	late.Age, late.CanOffload = 900*time.Millisecond, true
+	offloaded := request("offloaded", 1, 200*time.Millisecond)
+	offloaded.Offloaded, offloaded.Age, offloaded.Service = true, 900*time.Millisecond, "other" // no worker is of it
+	h.pool.Submit(h.now, late)
+	admission := h.pool.Submit(h.now, offloaded)
+	h.pool.Release(h.now, admission)
+	h.advance(100 * time.Millisecond)
+	if _, answers := h.pool.TakePending(); len(answers) > 0 {
+		t.Errorf("answers while w1 has not listed its runs: %+v", answers)
+	}
+	if r := h.pool.Report(h.now); r.AcceptsOffload() || r.FreeSlots > 0 {
+		t.Errorf("report %+v, want no free slots while nothing may start", r)
+	}
+	h.reply(unlisted, Reply{Done: true})
+	h.advance(shedInterval)
+	if _, answers := h.pool.TakePending(); len(answers) != 1 || answers[0].Job != "offloaded" || !answers[0].TryElsewhere {
+		t.Errorf("answers once all runs are known: %+v, want the offloaded job to be tried elsewhere", answers)
+	}
+}
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -84,12 +84,10 @@
 	arrivedAt         time.Time     // when the caller sent the job
 	callerDeadline    time.Time     // when the caller stops waiting
 	objectiveDeadline time.Time     // objective deadline (SLO): arrivedAt, plus Stretch times the expected work, plus Latency
-	awaitListsUntil   time.Time     // no start before it, unless every worker has listed its runs; zero if the job is new
-	earliestStart     time.Time     // no start before it in any case: the end of recovery from a division
 	expectedWork      time.Duration // of the longest chain of steps, on a worker of factor 1
 	tasks             []*task
 	remaining         int  // number of tasks not done
-	mayHaveStarted    bool // a task may have been started, here or by another dispatcher; it is not answered as not run then
+	mayHaveStarted    bool // a task may have been started, here or by another dispatcher; it is not answered as not run then, see Pool.mayHaveStarted
 	expectedLate      bool // expected to miss its objective deadline, given the work ahead of it; served after the others
 	closed            bool // answered or withdrawn; its tasks may still be stopping
 }
--- a/internal/pool/unstopped_test.go
+++ b/internal/pool/unstopped_test.go
@@ -118,7 +118,19 @@
 		}
 	}
 	admission := h.pool.Submit(h.now, r)
-	start := h.ordersOfKind(StartOrder)[0]
+	var start Order
+	for start.Kind != StartOrder { // after recoveryDelay, as w1 has not listed its runs
+		h.advance(5 * time.Millisecond)
+		orders, _ := h.takePending()
+		for _, o := range orders {
+			switch {
+			case o.Kind == StartOrder:
+				start = o
+			case o.Worker == "w0":
+				h.reply(o, Reply{Done: true})
+			}
+		}
+	}
 	h.reply(start, Reply{Done: true})
 	task := h.pool.jobs["a"].tasks[0]
 	for stopped := false; task.phase != waiting; h.advance(5 * time.Millisecond) { // it stalls on w0
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -235,6 +235,7 @@
 		if s.pool == nil {
 			continue
 		}
+		complete := !g.workersIncomplete(now)
 		announced, cursor := g.config.Knowledge.Workers(g.self.FailureDomain, s.cursor)
 		s.cursor = cursor
 		for _, rec := range announced {
@@ -242,6 +243,9 @@
 				s.pool.UpdateWorker(now, rec)
 			}
 		}
+		if complete {
+			s.pool.CompleteWorkers(now)
+		}
 		r := s.pool.Report(now)
 		r.VM, r.FailureDomain, r.Group, r.Epoch = g.self.VM, g.self.FailureDomain, lead.Group(i), g.division.Epoch
 		reports = append(reports, r)
--- a/tamarackpin/internal/group/log.go
+++ b/tamarackpin/internal/group/log.go
@@ -65,7 +65,7 @@
 			id = event.StartUnclaimed
 		case o.Task.Index > 0:
 			continue
-		case len(takeover.Unlisted) > 0 || takeover.WorkersIncomplete && !takeover.LeasesOver:
+		case len(takeover.Unlisted) > 0 || !takeover.RunsKnown:
 			id = event.StartUnlisted
 		}
 		fields := []zap.Field{
@@ -96,7 +96,7 @@
 		return
 	}
 	t := s.pool.Takeover(now)
-	if !t.RunsKnown() || t.Workers == 0 && !t.LeasesOver {
+	if !t.RunsKnown || t.Workers == 0 {
 		return
 	}
 	s.runsKnownLogged = true
--- a/tamarackpin/internal/group/takeover_log_test.go
+++ b/tamarackpin/internal/group/takeover_log_test.go
@@ -27,7 +27,7 @@
 	s.pool = pool.New(now, pool.Config{Fence: s.leadership.Claim().Fence, LeaseMax: time.Second, StopMax: 50 * time.Millisecond})
 	s.pool.UpdateWorker(now, worker.Record{AnnouncedAt: now, Announcement: worker.Announcement{Worker: "w1", Incarnation: 1, Sequence: 1, Service: "s", Address: "10.0.0.9:1"}})
 	g.logRunsKnown(now, s)
-	if takeover := s.pool.Takeover(now); takeover.RunsKnown() || len(takeover.Unlisted) != 1 || len(lines()) > 0 {
+	if takeover := s.pool.Takeover(now); takeover.RunsKnown || len(takeover.Unlisted) != 1 || len(lines()) > 0 {
 		t.Errorf("a worker has listed nothing, and the takeover is %+v, with the lines %v", takeover, lines())
 	}
 	g.addWorker(t, "w1")
@@ -35,7 +35,7 @@
 	if found := lines(); len(found) != 1 || found[0].ContextMap()["unlisted_count"] != int64(0) {
 		t.Errorf("lines after the worker has listed its runs: %v, want one without unlisted workers", found)
 	}
-	if takeover := s.pool.Takeover(now); !takeover.RunsKnown() {
+	if takeover := s.pool.Takeover(now); !takeover.RunsKnown {
 		t.Errorf("all workers have listed their runs, and the takeover is %+v", takeover)
 	}
 }
