After the loss of all entry VMs new jobs do not wait for unknown workers

Change: a dispatcher learns from its peers' heartbeats whether any VM knows of an earlier claim of the group (Leadership.NoEarlierLeader). If a peer was heard and none does, all of them have started since the last leader was lost, and only forwarded jobs wait for workers that may be unknown, as before. Workers that are known and have not listed their runs hold all jobs as before.

TestEarlierLeaderIsKnown, TestFirstDispatcherStartsNewJobsAtOnce.

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -458,3 +458,24 @@
 		t.Errorf("leader %q, alive: %v; want the restarted VM", leader, led)
 	}
 }
+
+// TestEarlierLeaderIsKnown: a VM that restarts learns from a peer that there was a leader before. After the
+// loss of all VMs none is known, and a VM that has heard nobody cannot tell.
+func TestEarlierLeaderIsKnown(t *testing.T) {
+	s := newSim(2)
+	if s.vms[0].NoEarlierLeader() {
+		t.Error("a VM that has heard nobody counts on having no earlier leader")
+	}
+	s.advance(time.Second)
+	s.restart(0)
+	s.advance(300 * time.Millisecond)
+	if s.vms[0].NoEarlierLeader() {
+		t.Error("the restarted VM has not learned of the earlier leader from its peer")
+	}
+	s.restart(0)
+	s.restart(1)
+	s.advance(300 * time.Millisecond)
+	if !s.vms[0].NoEarlierLeader() {
+		t.Error("all VMs have restarted, and an earlier leader counts as possible")
+	}
+}
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -81,6 +81,7 @@
 	listeningSince  time.Time
 	lastTick        time.Time
 	claim           Claim
+	claimHeard      bool      // a peer has told which claim it knows, if any
 	claimedAt       time.Time // when claim became known, a sign of life of its holder
 	highestFence    Fence     // highest fence known, including refused ones
 	leaderlessSince time.Time // when NeedsLeader became true; zero while it is false
@@ -133,6 +134,7 @@
 // RecordClaim records the newest claim that peer from knows. A claim without a VM
 // from the VM that held it means that it stepped down.
 func (l *Leadership) RecordClaim(now time.Time, from vm.ID, c Claim) {
+	l.claimHeard = true
 	l.highestFence = max(l.highestFence, c.Fence)
 	if c.Fence > l.claim.Fence || c.Fence == l.claim.Fence && from == l.claim.VM && c.VM == "" {
 		l.claim, l.claimedAt = c, now
@@ -161,6 +163,10 @@
 // Claim returns the newest claim known.
 func (l *Leadership) Claim() Claim { return l.claim }
 
+// NoEarlierLeader reports whether the peers that were heard, at least one, know of no claim: all of them
+// have started since the last leader was lost, if there was one.
+func (l *Leadership) NoEarlierLeader() bool { return l.claim.Fence == 0 && l.claimHeard }
+
 // IsLeader reports whether this process holds the newest claim.
 func (l *Leadership) IsLeader() bool {
 	return l.claim.VM == l.self.VM && l.claim.Incarnation == l.self.Incarnation
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -12,6 +12,7 @@
 func (p *Pool) Submit(now time.Time, r Request) Admission {
 	if j := p.jobs[r.Job.ID]; j != nil && !j.closed {
 		j.callerDeadline = later(j.callerDeadline, now.Add(r.RemainingWait))
+		j.MayBeRunning = j.MayBeRunning || r.MayBeRunning
 		j.mayHaveStarted = j.mayHaveStarted || r.MayBeRunning
 		return j.admission
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,6 +53,10 @@
 	// WorkersIncomplete reports that the process has just started, or has not heard
 	// from a control VM lately, and may not know all workers, see [Pool.CompleteWorkers].
 	WorkersIncomplete bool
+	// FirstDispatcher reports that no VM in contact knows of an earlier dispatcher of the
+	// group, as after the loss of all entry VMs. Then only forwarded jobs wait for
+	// workers that may be unknown.
+	FirstDispatcher bool
 	// Crashes has the workers that were lost under tasks, also under earlier
 	// dispatchers; nil means none. The Pool adds to it.
 	Crashes *crash.Log
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -13,18 +13,27 @@
 // new: if its gate was lost, its caller submits it again through another one.
 // Once the leases of the earlier dispatchers are over there are none.
 func (p *Pool) mayHaveUnknownRuns(now time.Time) bool {
-	if now.Sub(p.startedAt) >= recoveryDelay {
+	if p.leasesOver(now) {
 		return false
 	}
-	return p.config.WorkersIncomplete || slices.ContainsFunc(p.byID, (*workerState).unlisted)
+	return p.config.WorkersIncomplete && !p.config.FirstDispatcher || slices.ContainsFunc(p.byID, (*workerState).unlisted)
 }
 
+// leasesOver reports whether all leases that earlier dispatchers obtained have lapsed.
+func (p *Pool) leasesOver(now time.Time) bool { return now.Sub(p.startedAt) >= recoveryDelay }
+
 // mayHaveStarted reports whether a task of j may have been started, so that j is neither answered
 // as not run nor offered to another group.
 func (p *Pool) mayHaveStarted(now time.Time, j *jobState) bool {
 	return j.mayHaveStarted || p.mayHaveUnknownRuns(now)
 }
 
+// mayStart reports whether tasks of j may start while mayHaveUnknownRuns is false: not those of a
+// forwarded job that may be running on an unknown worker.
+func (p *Pool) mayStart(now time.Time, j *jobState) bool {
+	return !j.MayBeRunning || !p.config.WorkersIncomplete || p.leasesOver(now)
+}
+
 // unlisted reports whether w has not listed its runs since the takeover, and is not known to run
 // nothing.
 func (w *workerState) unlisted() bool { return !w.listed && !w.Deregistered && !w.stale }
--- a/internal/pool/takeover_test.go
+++ b/internal/pool/takeover_test.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// TestFirstDispatcherStartsNewJobsAtOnce: after the loss of all entry VMs no dispatcher knows all workers, and
+// there is no earlier one whose runs could go on. Only a forwarded job waits.
+func TestFirstDispatcherStartsNewJobsAtOnce(t *testing.T) {
+	h := newHarness(t, 2)
+	h.pool.config.WorkersIncomplete, h.pool.config.FirstDispatcher = true, true
+	h.pool.Submit(h.now, request("new", 1, 200*time.Millisecond))
+	forwarded := request("forwarded", 1, 200*time.Millisecond)
+	forwarded.MayBeRunning = true
+	h.pool.Submit(h.now, forwarded)
+	if list := h.ordersOfKind(StartOrder); len(list) != 1 || list[0].Task.Job != "new" {
+		t.Errorf("starts %+v, want one, of the new job", list)
+	}
+}
+
 // TestJobWithUnknownRunIsNeitherRefusedNorOffloaded: while a worker may run a job unknown to the dispatcher,
 // neither "not run" nor an offer to another group, which would start it, is true.
 func TestJobWithUnknownRunIsNeitherRefusedNorOffloaded(t *testing.T) {
