The jobs of a gate that has restarted are withdrawn

What callers may see: two runs of a task at once, the second one ordered by another failure domain.

Cause: a dispatcher notices that a gate is lost by the end of its connection, and by missing pings for offloaded jobs only. When a gate loses power its connection stays open until something is written to it. Once its VM is back, its callers' connections break and they submit their jobs again after 1.3 s, to any VM, while the run of the first try is renewed until the caller's deadline.

Change: the first heartbeat of a gate's next process, at most 150 ms after its first contact with a leader, withdraws the jobs that the earlier process forwarded. A delayed heartbeat of the earlier process withdraws nothing.

TestJobOfRestartedGateIsWithdrawn; without the change the job of the earlier process is still pending in it.

--- a/tamarackpin/internal/group/crashes.go
+++ b/tamarackpin/internal/group/crashes.go
@@ -77,14 +77,3 @@
 	err := g.ring.Put(ctx, func(g *Group, now time.Time) { g.crashes.Merge(now, shared.Records) })
 	return struct{}{}, err
 }
-
-// noteStart notes that a VM whose heartbeat arrived has started since the last one.
-func (g *Group) noteStart(p vm.Presence) {
-	if g.incarnations[p.VM] == p.Incarnation {
-		return
-	}
-	if g.incarnations == nil {
-		g.incarnations, g.startedVMs, g.lackLateStarts = make(map[vm.ID]vm.Incarnation), make(map[vm.ID]bool), make(map[vm.ID]bool)
-	}
-	g.incarnations[p.VM], g.startedVMs[p.VM], g.lackLateStarts[p.VM] = p.Incarnation, true, true
-}
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -199,7 +199,7 @@
 	if hb.Division.Epoch > g.division.Epoch && len(hb.Claims) == hb.Division.GroupCount() {
 		g.applyDivision(now, hb.Division)
 	}
-	g.noteStart(hb.Self)
+	g.noteStart(now, hb.Self)
 	for i, s := range g.groups {
 		s.leadership.RecordHeartbeat(now, hb.Self)
 		if hb.Division.Epoch == g.division.Epoch && i < len(hb.Claims) {
--- a/tamarackpin/internal/group/state.go
+++ b/tamarackpin/internal/group/state.go
@@ -80,6 +80,15 @@
 	return true
 }
 
+// withdrawAll removes the waiters whose tickets match.
+func (s *groupState) withdrawAll(now time.Time, matches func(Ticket) bool) {
+	for t := range s.admissions {
+		if matches(t) {
+			s.withdraw(now, withdrawal{Ticket: t})
+		}
+	}
+}
+
 // release has the pool answer the job of a waiter if it has not started, and reports whether the waiter is
 // there. A job that another gate waits for as well goes on.
 func (s *groupState) release(now time.Time, t Ticket) bool {
--- a/tamarackpin/internal/group/withdrawal_test.go
+++ b/tamarackpin/internal/group/withdrawal_test.go
@@ -6,6 +6,7 @@
 
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/internal/worker"
 )
 
@@ -92,3 +93,34 @@
 		}
 	}
 }
+
+// TestJobOfRestartedGateIsWithdrawn: a gate loses power, and its connection stays open at the dispatcher. Once it
+// is back its callers submit their jobs again, to any VM, and the run of the first try went on beside
+// that of the second.
+func TestJobOfRestartedGateIsWithdrawn(t *testing.T) {
+	g, starts := newLeadingGroup(t)
+	g.addWorker(t, "w1")
+	now := time.Now()
+	heartbeatOf := func(i vm.Incarnation) heartbeat {
+		return heartbeat{Self: vm.Presence{VM: "ip-0a000002", FailureDomain: "a", Incarnation: i, Callers: true}}
+	}
+	pending := func(id job.ID) bool {
+		_, ok := g.groups[0].pool.Lookup(id)
+		return ok
+	}
+	g.applyHeartbeat(now, heartbeatOf(5))
+	g.admit(now, forwardRequest{Ticket{"ip-0a000002", 5, 1}, 0, 0, oneTask("first", time.Second)}, make(chan result, 1))
+	g.applyDecisions(t.Context(), now)
+	if o := <-starts; o.Task.Job != "first" {
+		t.Fatalf("job %s was started, want the first", o.Task.Job)
+	}
+	g.applyHeartbeat(now, heartbeatOf(4)) // delayed, of the process before
+	if !pending("first") {
+		t.Error("a delayed heartbeat withdrew the job of the present process")
+	}
+	g.applyHeartbeat(now, heartbeatOf(6))
+	g.admit(now, forwardRequest{Ticket{"ip-0a000002", 6, 1}, 0, 0, oneTask("second", time.Second)}, make(chan result, 1))
+	if pending("first") || !pending("second") {
+		t.Errorf("after the gate's restart: the job of its earlier process is pending: %v, that of the present one: %v", pending("first"), pending("second"))
+	}
+}
