A control VM counts as heard once its reply is known

Cause: the time of a control VM's reply was recorded before its workers were. A tick in between took the workers for complete and, since, ended the wait after a takeover, while the worker that the reply brings was unknown.

Change: the reply is merged first.

TestContactCountsOnceWorkersAreKnown fails on the code of before.

--- a/tamarackpin/internal/fleet/syncer.go
+++ b/tamarackpin/internal/fleet/syncer.go
@@ -138,9 +138,9 @@
 			unreachable = false
 		}
 		now := time.Now()
-		s.RecordContact(now)
-		s.recordReply(now, id)
 		s.Knowledge.merge(now, reply)
+		s.RecordContact(now) // after the merge: it says that the workers of the reply are known
+		s.recordReply(now, id)
 		s.TableAnnounced(ctx, id, reply.Version)
 		req.CursorIncarnation, req.VMCursor, req.WorkerCursor = reply.Self.Incarnation, reply.VMCursor, reply.WorkerCursor
 	}
