Workers fetched from a neighbour are as old as the neighbour's own news

Cause: an entry VM without news from the control VMs fetches the workers from a neighbour that has some, and noted the time of the fetch as that of the news. Two VMs that both had lost the control VMs vouched for each other for as long as the loss lasted, so that neither waited for workers that it may not know after a takeover.

Change: a heartbeat carries the age of the sender's news, and the fetch counts from then. Builds of before send no age, and count as before.

--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -51,12 +51,19 @@
 // from the control VMs does not know the workers that started since, on which other
 // dispatchers may start tasks, unless it gets them from a neighbour.
 func (g *Group) workersIncomplete(now time.Time) bool {
+	newsAt := g.workerNewsAt()
+	justStarted := g.workersCompleteAt.Load() == nil && now.Sub(g.startedAt) < worker.AnnouncementTimeout
+	return justStarted || !newsAt.IsZero() && now.Sub(newsAt) > maxWorkerNewsAge
+}
+
+// workerNewsAt returns the time of the newest news of workers: of the last reply of a control VM, or of
+// the one that a neighbour had when its workers were fetched. It is zero if there was none.
+func (g *Group) workerNewsAt() time.Time {
 	newsAt := g.config.Syncer.LastContact()
 	if at := g.workersCompleteAt.Load(); at != nil && at.After(newsAt) {
 		newsAt = *at
 	}
-	justStarted := g.workersCompleteAt.Load() == nil && now.Sub(g.startedAt) < worker.AnnouncementTimeout
-	return justStarted || !newsAt.IsZero() && now.Sub(newsAt) > maxWorkerNewsAge
+	return newsAt
 }
 
 // redivide changes the number of groups if there are too many or too few workers for
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -13,6 +13,7 @@
 	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/internal/wire"
 	"tamarackpin.example/tamarackpin/internal/peer"
 )
 
@@ -44,11 +45,17 @@
 	Claims            []lead.Claim   `json:"claims"` // newest known to the sender, by group
 	Version           routes.Version `json:"version"`
 	WorkersIncomplete bool           `json:"partial,omitempty"` // the sender may not know all workers
+	// WorkerNewsAge is the age of the sender's newest news of workers, 0 if it had none.
+	WorkerNewsAge wire.Duration `json:"worker_news_age,omitempty"`
 }
 
 func (g *Group) heartbeat() heartbeat {
 	d := g.directory.Load()
-	hb := heartbeat{Self: g.config.Knowledge.Self(), Division: d.division, WorkersIncomplete: g.workersIncomplete(time.Now())}
+	now := time.Now()
+	hb := heartbeat{Self: g.config.Knowledge.Self(), Division: d.division, WorkersIncomplete: g.workersIncomplete(now)}
+	if at := g.workerNewsAt(); !at.IsZero() {
+		hb.WorkerNewsAge = wire.Duration(now.Sub(at))
+	}
 	for _, l := range d.leaders {
 		hb.Claims = append(hb.Claims, l.Claim)
 	}
@@ -189,7 +196,10 @@
 	}
 	defer g.syncing.Store(false)
 	if g.config.Syncer.FetchFrom(ctx, hb.Self.VM) && canCompleteWorkers {
-		g.workersCompleteAt.Store(&now)
+		newsAt := now.Add(-hb.WorkerNewsAge.Std())
+		if at := g.workersCompleteAt.Load(); at == nil || newsAt.After(*at) {
+			g.workersCompleteAt.Store(&newsAt)
+		}
 	}
 }
 
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -81,7 +81,7 @@
 	pingMu    sync.Mutex // guards lastPings
 	lastPings map[vm.ID]time.Time
 
-	// startedAt is when the process started; workersCompleteAt is when the workers were last
+	// startedAt is when the process started; workersCompleteAt is the time of the news of workers that were last
 	// fetched from a VM that knows all of them, nil if never.
 	startedAt         time.Time
 	workersCompleteAt atomic.Pointer[time.Time]
