After a takeover a deregistered worker counts until it is known to have ended

What callers may see: a task that runs twice at once after a takeover.

Cause: a worker that had deregistered was taken for one that runs nothing. On the other hand each worker that had crashed within the last minute, and is known from its announcements, held all starts for 1.5 s at every takeover.

Change: one rule for both (Pool.hasEnded). A worker has ended if its host refused a connection since the takeover and it has deregistered or has not announced itself for 3.75 s. A refused connection alone may be a partition.

TestDeregisteredWorkerMayRun and, for a worker that crashed long ago, TestEndedWorkerDelaysNoStart fail on the code of before.

--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -16,7 +16,7 @@
 	if p.leasesOver(now) {
 		return false
 	}
-	return p.config.WorkersIncomplete && !p.config.FirstDispatcher || slices.ContainsFunc(p.byID, (*workerState).unlisted)
+	return p.config.WorkersIncomplete && !p.config.FirstDispatcher || slices.ContainsFunc(p.byID, func(w *workerState) bool { return p.unlisted(now, w) })
 }
 
 // leasesOver reports whether all leases that earlier dispatchers obtained have lapsed.
@@ -34,9 +34,18 @@
 	return !j.MayBeRunning || !p.config.WorkersIncomplete || p.leasesOver(now)
 }
 
-// unlisted reports whether w has not listed its runs since the takeover, and is not known to run
-// nothing.
-func (w *workerState) unlisted() bool { return !w.listed && !w.Deregistered && !w.stale }
+// unlisted reports whether w may run what it has not listed since the takeover.
+func (p *Pool) unlisted(now time.Time, w *workerState) bool {
+	return !w.listed && !w.stale && !p.hasEnded(now, w)
+}
+
+// hasEnded reports whether the process of w has ended: its host refused a connection since the
+// takeover, and it has deregistered or no longer announces itself. One of these alone is no proof: a
+// connection may be refused by a partition, and a worker goes on for seconds if its
+// deregistration is not acknowledged.
+func (p *Pool) hasEnded(now time.Time, w *workerState) bool {
+	return w.noListenerAt.After(later(p.startedAt, w.lastReplyAt)) && (w.Deregistered || now.Sub(w.AnnouncedAt) >= worker.AnnouncementTimeout)
+}
 
 // CompleteWorkers tells the Pool that UpdateWorker was called with all workers that may have runs.
 func (p *Pool) CompleteWorkers(now time.Time) {
@@ -62,7 +71,7 @@
 		WorkersIncomplete: p.config.WorkersIncomplete, RunsKnown: !p.mayHaveUnknownRuns(now),
 	}
 	for _, w := range p.byID {
-		if w.unlisted() {
+		if p.unlisted(now, w) {
 			t.Unlisted = append(t.Unlisted, w.Worker)
 		}
 	}
--- a/internal/pool/takeover_test.go
+++ b/internal/pool/takeover_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"tamarackpin.example/internal/worker"
 )
 
 // takeOver returns a harness whose dispatcher has just taken over: w0 has listed no runs, and the first
@@ -114,3 +116,54 @@
 		t.Errorf("answers once all runs are known: %+v, want the offloaded job to be tried elsewhere", answers)
 	}
 }
+
+// announceLate has the dispatcher learn of worker w2 by its newest announcement, which is old.
+func (h *harness) announceLate(age time.Duration, deregistered bool) {
+	h.pool.UpdateWorker(h.now, worker.Record{AnnouncedAt: h.now.Add(-age), Deregistered: deregistered, Announcement: worker.Announcement{
+		Worker: "w2", Incarnation: 1, Sequence: 1, Leaving: deregistered, Service: "s", Address: "w2", Capacity: worker.Resources{MilliCores: 16000, MemoryMB: 1000}, Clock: worker.Clock(time.Hour),
+	}})
+}
+
+// TestDeregisteredWorkerMayRun: a worker whose deregistration is not acknowledged goes on for seconds with
+// what it runs. A job that came as new after a takeover started beside its run there.
+func TestDeregisteredWorkerMayRun(t *testing.T) {
+	h := newHarness(t, 1)
+	h.announceLate(0, true)
+	r := patientRequest(time.Second)
+	r.Job.ID = inheritedRun.Task.Job
+	h.pool.Submit(h.now, r)
+	query := h.ordersOfKind(RenewOrder)
+	if list := h.ordersOfKind(StartOrder); len(list) > 0 || len(query) != 1 || query[0].Worker != "w2" {
+		t.Fatalf("starts %+v and queries %+v, want one query of the deregistered worker", list, query)
+	}
+	h.reply(query[0], Reply{Done: true, Running: []RunningTask{inheritedRun}})
+	h.advance(100 * time.Millisecond)
+	if list := h.ordersOfKind(StartOrder); len(list) > 0 {
+		t.Errorf("starts beside the run on the deregistered worker: %+v", list)
+	}
+}
+
+// TestEndedWorkerDelaysNoStart: the wait after a takeover does not last for workers whose hosts refuse
+// connections, if they have deregistered or do not announce themselves any more.
+func TestEndedWorkerDelaysNoStart(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		age          time.Duration
+		deregistered bool
+		starts       int
+	}{
+		{"crashed long ago", worker.AnnouncementTimeout, false, 1},
+		{"deregistered", 0, true, 1},
+		{"announced itself just now", 0, false, 0},
+	} {
+		h := newHarness(t, 1)
+		h.announceLate(c.age, c.deregistered)
+		h.pool.Submit(h.now, patientRequest(time.Second))
+		h.advance(5 * time.Millisecond)
+		h.reply(h.ordersOfKind(RenewOrder)[0], Reply{NoListener: true})
+		h.advance(5 * time.Millisecond)
+		if list := h.ordersOfKind(StartOrder); len(list) != c.starts {
+			t.Errorf("%s: starts %+v, want %d", c.name, list, c.starts)
+		}
+	}
+}
