No free slots are reported after a division, and 819 stays near a takeover

A group that had just been divided reported free slots, and jobs of other groups were offloaded to it that could not start for up to 1.5 s. A worker that crashed before a takeover never lists its runs, so that 819 replaced 807 for as long as the dispatcher led.

Now a report has no slots while nothing may start, and 819 is written within 3 s of a takeover only. TestNoFreeSlotsAfterDivision and TestStartLongAfterTakeoverIsNoWarning fail on the code of before.

--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -168,7 +168,7 @@
 // Report returns the Fence and FreeSlots of the group; the caller fills in the rest.
 func (p *Pool) Report(now time.Time) Report {
 	r := Report{Fence: p.config.Fence}
-	if p.mayHaveUnknownRuns(now) {
+	if p.newlyDivided(now) || p.mayHaveUnknownRuns(now) {
 		return r
 	}
 	need, tasks := defaultNeed, 0
--- a/internal/pool/takeover_test.go
+++ b/internal/pool/takeover_test.go
@@ -167,3 +167,13 @@
 		}
 	}
 }
+
+// TestNoFreeSlotsAfterDivision: nothing starts for recoveryDelay after a division, so the group offers
+// no room to jobs of other groups.
+func TestNoFreeSlotsAfterDivision(t *testing.T) {
+	h := newHarness(t, 4)
+	h.pool.config.DividedAt = h.now
+	if r := h.pool.Report(h.now); r.FreeSlots > 0 || r.AcceptsOffload() {
+		t.Errorf("report %+v just after a division, want no free slots", r)
+	}
+}
--- a/tamarackpin/internal/group/log.go
+++ b/tamarackpin/internal/group/log.go
@@ -65,7 +65,7 @@
 			id = event.StartUnclaimed
 		case o.Task.Index > 0:
 			continue
-		case len(takeover.Unlisted) > 0 || !takeover.RunsKnown:
+		case len(takeover.Unlisted) > 0 && takeover.Since < unlistedLogTime || !takeover.RunsKnown:
 			id = event.StartUnlisted
 		}
 		fields := []zap.Field{
@@ -79,6 +79,11 @@
 	}
 }
 
+// unlistedLogTime is how long after a takeover starts are logged as made before all workers have listed
+// their runs: twice the time for which a run of an earlier dispatcher may go on. A worker that
+// crashed before the takeover never lists any.
+const unlistedLogTime = 3 * time.Second
+
 // maxLoggedWorkers bounds the names of workers in one line.
 const maxLoggedWorkers = 8
 
--- a/tamarackpin/internal/group/takeover_log_test.go
+++ b/tamarackpin/internal/group/takeover_log_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/worker"
 )
@@ -39,3 +40,25 @@
 		t.Errorf("all workers have listed their runs, and the takeover is %+v", takeover)
 	}
 }
+
+// TestStartLongAfterTakeoverIsNoWarning: a worker that crashed before the takeover never lists its runs. A
+// start half a minute later has nothing to do with that.
+func TestStartLongAfterTakeoverIsNoWarning(t *testing.T) {
+	g, _ := newLeadingGroup(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	g.config.Log = zap.New(core)
+	now := time.Now()
+	s := g.groups[0]
+	s.pool = pool.New(now.Add(-30*time.Second), pool.Config{Fence: s.leadership.Claim().Fence, LeaseMax: time.Second, StopMax: 50 * time.Millisecond})
+	s.pool.UpdateWorker(now.Add(-30*time.Second), worker.Record{AnnouncedAt: now.Add(-40 * time.Second), Announcement: worker.Announcement{Worker: "crashed", Incarnation: 1, Sequence: 1, Service: "s", Address: "10.0.0.8:1"}})
+	s.pool.TakePending()
+	g.addWorker(t, "w1")
+	s.submit(now, pool.Request{
+		Job: job.Job{ID: "a", Steps: []job.Step{{Count: 1, Need: worker.Resources{MilliCores: 1000}, Estimate: time.Second}}},
+		Row: "row", Service: "s", MaxAttempts: 2, Stretch: 10, RemainingWait: 30 * time.Second,
+	}, waiter{done: make(chan result, 1)})
+	g.applyDecisions(t.Context(), now)
+	for _, l := range logs.FilterField(zap.Int("event", int(event.StartUnlisted))).All() {
+		t.Errorf("%s line %q: %v", l.Level, l.Message, l.ContextMap())
+	}
+}
