A job that was offloaded is not started by its own group meanwhile

What callers may see: two runs of a task at once, both ordered by one VM if it leads both groups; the first one gets no stop.

Cause: a group that returns a job to be offloaded forgets it. The gate keeps the job as long as it does not notice that its caller's connection broke (a cut between caller and gate, an open connection of a lost host). The caller submits the job again 1.3 s later through another gate, to its own group, which has room by then and starts it beside the run in the other group.

Change: the gate names the group that it would offload to, and the own group remembers the job with it until its caller's deadline. A later try is returned to its gate with that group (Answer.OffloadTo), which joins the pending job or takes it; only if that group says that it won't run it does the own group start it (Request.OffloadRefused). If that group cannot be reached, the job is answered as abandoned, not as not run. A takeover or a division of the own group still forgets such jobs.

--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -8,7 +8,8 @@
 
 // Submit adds a job and starts those of its tasks that it can. A job that is
 // already pending goes on as it is, with the later of the two caller deadlines:
-// its admission is returned, and one answer serves both requests.
+// its admission is returned, and one answer serves both requests. One that was
+// offloaded is returned to be offloaded to the same group.
 func (p *Pool) Submit(now time.Time, r Request) Admission {
 	if j := p.jobs[r.Job.ID]; j != nil && !j.closed {
 		j.callerDeadline = later(j.callerDeadline, now.Add(r.RemainingWait))
@@ -16,6 +17,9 @@
 		j.mayHaveStarted = j.mayHaveStarted || r.MayBeRunning
 		return j.admission
 	}
+	if a, redirected := p.redirect(now, r); redirected {
+		return a
+	}
 	p.lastAdmission++
 	j := &jobState{Request: r, admission: Admission{r.Job.ID, p.lastAdmission}, arrivedAt: now.Add(-r.Age), callerDeadline: now.Add(r.RemainingWait)}
 	j.mayHaveStarted = r.MayBeRunning || p.newlyDivided(now)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -104,6 +104,7 @@
 	workers    map[worker.ID]*workerState
 	byID       []*workerState // workers sorted by id, so that equal inputs lead to equal decisions
 	jobs       map[job.ID]*jobState
+	offloads   map[job.ID]offload // jobs of this group that another one may run
 	estimator  Estimator
 	crashes    *crash.Log
 	lateStarts *latestart.Log
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -187,6 +187,7 @@
 	p.giveUpJobs(now)
 	p.giveUpBlockedJobs(now)
 	p.expireJobs(now)
+	p.expireOffloads(now)
 	if now.Sub(p.lastShedAt) >= shedInterval {
 		p.shedLoad(now)
 	}
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -26,6 +26,12 @@
 	// CanOffload reports that another group may have room: the job is returned at
 	// once, to be offloaded, if it would be late here.
 	CanOffload bool `json:"Elsewhere"`
+	// OffloadTo is the group to which the gate offloads the job if CanOffload is set and it is
+	// returned.
+	OffloadTo Destination `json:",omitzero"`
+	// OffloadRefused reports that the group to which the job was offloaded has not run it and
+	// won't.
+	OffloadRefused bool `json:",omitempty"`
 	// Offloaded reports that the job was offloaded here by another group: it is
 	// refused at once if it would be late here.
 	Offloaded bool `json:"Guest"`
@@ -43,6 +49,25 @@
 	Reason       string        // for the log and the caller
 	RetryAfter   time.Duration // of a refused job: when the caller may try again
 	TryElsewhere bool          `json:"Elsewhere"` // of a refused job: another group may still meet the objective deadline
+	OffloadTo    Destination   `json:",omitzero"` // of a job with TryElsewhere: the group that may be running it since an earlier try; zero if none
+}
+
+// Destination names a group that jobs are offloaded to.
+type Destination struct {
+	FailureDomain vm.FailureDomain `json:"failure_domain"`
+	Group         lead.Group       `json:"group,omitempty"`
+	Epoch         lead.Fence       `json:"epoch,omitempty"` // of the division of workers that the group belongs to
+	VM            vm.ID            `json:"vm"`              // VM of its dispatcher when the job was offloaded
+}
+
+// SameGroup reports whether d and o name one group; its dispatcher may have changed.
+func (d Destination) SameGroup(o Destination) bool {
+	return d.FailureDomain == o.FailureDomain && d.Group == o.Group && d.Epoch == o.Epoch
+}
+
+// Destination returns the group of a report.
+func (r Report) Destination() Destination {
+	return Destination{FailureDomain: r.FailureDomain, Group: r.Group, Epoch: r.Epoch, VM: r.VM}
 }
 
 // Report is what a group tells others of itself, so that they can decide whether to
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -267,6 +267,18 @@
 	return best, best.VM != ""
 }
 
+// ReportOf returns the last report of a group, or one that only names it if there is none that may be
+// used.
+func (k *Knowledge) ReportOf(now time.Time, d pool.Destination) pool.Report {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r, known := k.reports[groupKey{d.FailureDomain, d.Group}]
+	if known && now.Sub(r.madeAt) < reportMaxAge && d.SameGroup(r.Destination()) {
+		return r.Report
+	}
+	return pool.Report{FailureDomain: d.FailureDomain, Group: d.Group, Epoch: d.Epoch, VM: d.VM}
+}
+
 // CountWorkers returns the number of workers of a failure domain that may be given
 // tasks now.
 func (k *Knowledge) CountWorkers(now time.Time, d vm.FailureDomain) int {
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -134,16 +134,17 @@
 		}
 		noLeaderSince = time.Time{}
 		spare, hasSpare := g.Knowledge.SelectSpareGroup(now, leader.Group)
-		r.CanOffload = hasSpare && !offloadTried && !r.MayBeRunning
+		r.CanOffload, r.OffloadTo = hasSpare && !offloadTried && !r.MayBeRunning, spare.Destination()
 		result := g.forward(ctx, leader, changed, deadline, r)
 		if result.Answered && !result.Answer.TryElsewhere {
 			return result.Answer
 		}
 		if result.Answered {
 			offloadTried = true
-			if a, ok := g.offload(ctx, spare, r); ok {
+			if a, ok := g.offload(ctx, now, result.Answer.OffloadTo, spare, r); ok {
 				return a
 			}
+			r.OffloadRefused = true
 			continue
 		}
 		r.MayBeRunning = r.MayBeRunning || result.MayBeRunning
@@ -187,19 +188,23 @@
 	}
 }
 
-// offload forwards a job, refused by its own group with TryElsewhere, to the group in
-// spare. ok is false if the spare group did not run the job and will not. If its fate is
-// unknown, offload returns a final answer, as running it in its own group could run it
+// offload forwards a job, returned by its own group with TryElsewhere, to the group in spare, or to that of
+// earlier, which may be running it since an earlier try, unless that is zero. ok is false if that group did not run the job and will not.
+// If its fate is unknown, offload returns a final answer, as running it in its own group could run it
 // twice.
-func (g *Gate) offload(ctx context.Context, spare pool.Report, r pool.Request) (a pool.Answer, ok bool) {
+func (g *Gate) offload(ctx context.Context, now time.Time, earlier pool.Destination, spare pool.Report, r pool.Request) (a pool.Answer, ok bool) {
+	mayRunThere := earlier != pool.Destination{}
+	if mayRunThere {
+		spare = g.Knowledge.ReportOf(now, earlier)
+	}
 	r.CanOffload, r.Offloaded = false, true
 	result := g.Group.Offload(ctx, spare, g.lastCall.Add(1), r)
 	event.Log(g.Log, event.JobSpilled, zap.String("job", string(r.Job.ID)), zap.String("failure_domain", string(spare.FailureDomain)), zap.Int("group", int(spare.Group)),
-		zap.Int("free_places", spare.FreeSlots), zap.Bool("answered", result.Answered), zap.String("outcome", string(result.Answer.Outcome)))
+		zap.Int("free_places", spare.FreeSlots), zap.Bool("again", mayRunThere), zap.Bool("answered", result.Answered), zap.String("outcome", string(result.Answer.Outcome)))
 	switch {
 	case result.Answered && !result.Answer.TryElsewhere:
 		return result.Answer, true
-	case result.MayBeRunning && !result.Answered:
+	case (result.MayBeRunning || mayRunThere) && !result.Answered:
 		r.MayBeRunning = true
 		return gateAnswer(r, "the group that took the job cannot be heard any more"), true
 	}
--- a/tamarackpin/internal/gate/gate_test.go
+++ b/tamarackpin/internal/gate/gate_test.go
@@ -10,6 +10,7 @@
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/tamarackpin/internal/fleet"
@@ -74,3 +75,21 @@
 		t.Errorf("answer %+v after %s to the job when it is submitted again, want %+v at once", again, tookAgain, a)
 	}
 }
+
+// TestUnreachableGroupKeepsItsJob: the group that may be running a job since an earlier try cannot be reached. The
+// job goes to no other group, and is not answered as not run.
+func TestUnreachableGroupKeepsItsJob(t *testing.T) {
+	k := fleet.NewKnowledge(vm.Presence{VM: "ip-0a000001", FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
+	var x peer.Mux
+	m := &peer.Mesh{Self: "ip-0a000001", Recorder: &report.Recorder{}, Address: func(vm.ID) (string, bool) { return "", false }}
+	defer m.Close()
+	g := &Gate{Group: group.New(time.Now(), group.Config{Knowledge: k, Syncer: &fleet.Syncer{Knowledge: k, Log: zap.NewNop()}, Mesh: m, Log: zap.NewNop()}, &x), Knowledge: k, Log: zap.NewNop()}
+	r := pool.Request{Job: job.Job{ID: "a"}, RemainingWait: time.Second}
+	spare := pool.Report{FailureDomain: "a", Group: 1, VM: "ip-0a000002"}
+	if a, ok := g.offload(t.Context(), time.Now(), pool.Destination{}, spare, r); ok {
+		t.Errorf("first try, which was not sent: answer %+v, want none", a)
+	}
+	if a, ok := g.offload(t.Context(), time.Now(), spare.Destination(), spare, r); !ok || a.Outcome != job.Abandoned {
+		t.Errorf("later try, which was not sent: answer %+v, %v, want abandoned", a, ok)
+	}
+}
