A cancel does not wait for entry VMs whose process has ended

Cause: the gate did not look at why a VM could not be asked. A job that need not be kept exists while its POST is open, so it ends with the process of its gate.

Change: a VM that refuses connections is left out (Mesh.Refuses). That dials anew each time: the process that refused a moment ago may have been followed by one that accepts jobs; the port for VMs opens before that for callers. A VM that hangs, is cut off, has no power or whose address is not known still gives 503. No bound of time was added: a VM that is not heard may accept jobs of callers that reach it, and nothing limits Deadline-Ms.

--- a/tamarackpin/internal/gate/cancel.go
+++ b/tamarackpin/internal/gate/cancel.go
@@ -35,7 +35,9 @@
 }
 
 // Cancel cancels a job wherever it is pending, and reports whether it was found. The gate that holds it
-// withdraws it from its dispatcher, which stops its tasks and starts no others.
+// withdraws it from its dispatcher, which stops its tasks and starts no others. An entry VM that refuses
+// connections has no process, and the jobs that its gate held ended with it: callers' connections had to be
+// open. One that is silent may hold the job, or accept it while it is cut off from this VM.
 func (g *Gate) Cancel(ctx context.Context, id job.ID) (found bool, err error) {
 	if g.cancelHere(id) {
 		return true, nil
@@ -47,10 +49,11 @@
 			ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 			defer cancel()
 			held, callErr := peer.Call[bool](ctx, g.Mesh, p.VM, report.UseForward, methodCancel, id)
+			unsure := callErr != nil && !g.Mesh.Refuses(ctx, p.VM)
 			mu.Lock()
 			defer mu.Unlock()
 			found = found || held
-			if callErr != nil {
+			if unsure {
 				err = ErrCancelUnsure
 				g.Log.Debug("asking for a job to cancel failed", zap.String("job", string(id)), zap.String("vm", string(p.VM)), event.Err(callErr))
 			}
--- a/tamarackpin/internal/peer/mesh.go
+++ b/tamarackpin/internal/peer/mesh.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -179,18 +180,9 @@
 // dial opens a connection to an entry VM and greets it. lastRead returns when the
 // connection last received bytes.
 func (m *Mesh) dial(ctx context.Context, to vm.ID) (conn *jsonrpc2.Conn, lastRead func() time.Time, err error) {
-	address, ok := "", false
-	if m.Address != nil {
-		address, ok = m.Address(to)
-	}
-	if !ok {
-		return nil, nil, errors.Newf("the address of entry VM %s is not known", to)
-	}
-	dialCtx, cancel := context.WithTimeout(ctx, cmp.Or(m.DialTimeout, dialTimeout))
-	defer cancel()
-	c, err := m.dialTCP(dialCtx, address)
+	c, err := m.dialTCP(ctx, to)
 	if err != nil {
-		return nil, nil, errors.Wrapf(err, "connecting to entry VM %s", to)
+		return nil, nil, err
 	}
 	conn, lastRead = open(context.Background(), c, cmp.Or(m.WriteTimeout, writeTimeout), silent{})
 	helloCtx, cancelHello := context.WithTimeout(ctx, helloTimeout)
@@ -202,11 +194,33 @@
 	return conn, lastRead, nil
 }
 
-func (m *Mesh) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// dialTCP opens a connection to an entry VM within the dial timeout, and does the TLS handshake if there is TLS.
+func (m *Mesh) dialTCP(ctx context.Context, to vm.ID) (c net.Conn, err error) {
+	address, ok := "", false
+	if m.Address != nil {
+		address, ok = m.Address(to)
+	}
+	if !ok {
+		return nil, errors.Newf("the address of entry VM %s is not known", to)
+	}
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(m.DialTimeout, dialTimeout))
+	defer cancel()
 	if m.TLS == nil {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		c, err = (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	} else {
+		c, err = (&tls.Dialer{Config: m.TLS}).DialContext(ctx, "tcp", address)
+	}
+	return c, errors.Wrapf(err, "connecting to entry VM %s", to)
+}
+
+// Refuses reports whether an entry VM refuses connections: its machine replies, and no process listens there. It always
+// dials, as an earlier refusal may be that of a process before the present one.
+func (m *Mesh) Refuses(ctx context.Context, to vm.ID) bool {
+	c, err := m.dialTCP(ctx, to)
+	if err == nil {
+		_ = c.Close()
 	}
-	return (&tls.Dialer{Config: m.TLS}).DialContext(ctx, "tcp", address)
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // Close closes all connections.
