Entry VMs of other failure domains are not forgotten while they are heard

Cause: entry VMs hear of these VMs only from control VMs, which send a VM when its presence changes. The time of its last heartbeat was never sent again, so Roster.Prune dropped it.

Change: a control VM sends a VM again when the time at which it was heard has moved by 30 s. Such a renewal is not urgent: it goes with the next reply and ends no wait.

TestVMThatControlVMsHearIsNotForgotten fails before: "a VM that a control VM heard just now was forgotten after 1m31s". After: known for the 5 minutes tried, sent at most 11 times, once urgently, and forgotten within 1 to 2 minutes after it is not heard any more. With the race detector and GOMAXPROCS=2 the tests of packages vm, fleet, gate, keeper and group pass, at a load average of 15 to 18. The bytes of the renewals were not measured, and no run of processes over 90 s was made.

--- a/internal/vm/presence.go
+++ b/internal/vm/presence.go
@@ -41,7 +41,11 @@
 type Present struct {
 	Presence
 	Heard time.Time
-	Since RosterCursor
+	Since RosterCursor // when the Presence last changed
+	// Renewed is when the record last changed or Heard had moved by renewalInterval: a VM that does not
+	// hear this one itself needs the record again.
+	Renewed      RosterCursor
+	renewedHeard time.Time // Heard then
 }
 
 // Roster is what one VM knows of the others. It is not safe for concurrent use.
@@ -55,6 +59,10 @@
 // partitions that the platform names, so that what was cut is found again.
 const rosterKeep = 90 * time.Second
 
+// renewalInterval is how often VMs that hear of a VM only through others are told that it is heard. After its
+// last renewal a VM is known for another rosterKeep, so one that is lost is forgotten 60 to 90 s later.
+const renewalInterval = rosterKeep / 3
+
 // IncarnationTimeout is how long an incarnation of a VM is unheard before a lower one may follow it. An
 // incarnation is the time of day at which a process started, on a clock that may have been set back
 // since the one before. A delayed message of an earlier process arrives while the present one is heard.
@@ -80,10 +88,14 @@
 	if known && heard.Before(old.Heard) {
 		heard = old.Heard
 	}
-	next := Present{Presence: p, Heard: heard, Since: old.Since}
+	next := old
+	next.Presence, next.Heard = p, heard
 	news := !known || old.Presence != p
-	if news {
+	if news || heard.Sub(old.renewedHeard) >= renewalInterval {
 		r.cursor++
+		next.Renewed, next.renewedHeard = r.cursor, heard
+	}
+	if news {
 		next.Since = r.cursor
 	}
 	r.vms[p.VM] = next
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -131,9 +131,9 @@
 		reply.Division, urgent = d, true
 	}
 	for p := range k.roster.All {
-		if p.Since > req.VMCursor && p.VM != req.Self.VM {
+		if p.Renewed > req.VMCursor && p.VM != req.Self.VM {
 			reply.VMs = append(reply.VMs, agedVM{p.Presence, wire.Duration(max(0, now.Sub(p.Heard))).Round()})
-			urgent = true
+			urgent = urgent || p.Since > req.VMCursor
 		}
 	}
 	for r := range k.registry.All {
