Random schedules in which a new dispatcher does not know all workers

A dispatcher that takes over may lack workers, as each announces itself to one control VM only. The schedules of handovers had every worker known at once.

Change: the schedules hide a third of the workers from each new dispatcher for up to 2.5 s, with Config.WorkersIncomplete, and call CompleteWorkers when the last one is delivered; gates are lost as in TestNoTaskRunsTwiceAfterGateIsLost. A planted fault, a dispatcher that counts on knowing all workers meanwhile, is caught (TestMissedWorkersAreDetected). The other schedules draw what they drew before.

--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -121,6 +121,7 @@
 	overfilled error
 	hazards    *hazards   // nil in schedules without
 	handovers  *handovers // nil in schedules without
+	hidden     *hiddenWorkers
 	lateStarts lateStartSharing
 	concurrent error // of the first start beside a run of the same task on the same worker
 }
@@ -180,12 +181,13 @@
 	if sim.fault != faultDivisionHidden {
 		c.DividedAt = sim.divisionKnownAt[g]
 	}
+	c.WorkersIncomplete = sim.hidden.hideSome(sim, g)
 	p := New(sim.now, c)
 	sim.pools = append(sim.pools, p)
 	sim.groups[g] = len(sim.pools) - 1
 	for _, s := range sim.workers {
-		if sim.division.GroupOf(string(s.id)) == g {
-			p.UpdateWorker(sim.now, worker.Record{Announcement: s.announcement(sim.now), AnnouncedAt: sim.now})
+		if sim.division.GroupOf(string(s.id)) == g && !sim.hidden.hides(s.id) {
+			p.UpdateWorker(sim.now, sim.record(s))
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(sim.jobs)) {
@@ -201,6 +203,12 @@
 	}
 }
 
+// record returns what control VMs know of a worker.
+func (sim *simulation) record(s *simWorker) worker.Record {
+	rec := worker.Record{Announcement: s.announcement(sim.now), AnnouncedAt: sim.now}
+	return rec
+}
+
 // divide divides the workers into another number of groups. The old dispatchers,
 // and the VMs that claim the new groups, are notified with their next heartbeat.
 func (sim *simulation) divide() {
@@ -253,6 +261,7 @@
 	if sim.handovers != nil {
 		sim.handovers.step(sim)
 	}
+	sim.hidden.step(sim)
 	sim.submit()
 	sim.deliver()
 	for _, s := range sim.workers {
@@ -305,9 +314,9 @@
 		}
 	}
 	for _, s := range sim.workers {
-		if sim.r.IntN(100) == 0 && !sim.now.Before(s.downUntil) {
+		if sim.r.IntN(100) == 0 && !sim.now.Before(s.downUntil) && !sim.hidden.hides(s.id) {
 			if p, ok := sim.owner(string(s.id)); ok {
-				p.UpdateWorker(sim.now, worker.Record{Announcement: s.announcement(sim.now), AnnouncedAt: sim.now})
+				p.UpdateWorker(sim.now, sim.record(s))
 			}
 		}
 	}
