Random schedules of workers that leave; one deregistered long ago is not awaited

A worker ends within seconds of its deregistration, so one that deregistered more than 30 s ago has ended also if its host is silent. Without this bound it held all starts for 1.5 s at each takeover for up to a minute.

--- a/internal/pool/handover_test.go
+++ b/internal/pool/handover_test.go
@@ -135,6 +135,7 @@
 	}
 	sim.takeover(lead.Group(g))
 	sim.stats["handovers"]++
+	sim.departures.cutOff(sim, sim.groups[g])
 }
 
 // forward has the gate of a job forward it to the new dispatcher, some time after the takeover. If the
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -122,6 +122,8 @@
 	hazards    *hazards   // nil in schedules without
 	handovers  *handovers // nil in schedules without
 	hidden     *hiddenWorkers
+	departures *departures
+	slowdown   time.Duration // factor of the time that runs take; 0 stands for 1
 	lateStarts lateStartSharing
 	concurrent error // of the first start beside a run of the same task on the same worker
 }
@@ -206,6 +208,7 @@
 // record returns what control VMs know of a worker.
 func (sim *simulation) record(s *simWorker) worker.Record {
 	rec := worker.Record{Announcement: s.announcement(sim.now), AnnouncedAt: sim.now}
+	sim.departures.amend(&rec)
 	return rec
 }
 
@@ -262,6 +265,7 @@
 		sim.handovers.step(sim)
 	}
 	sim.hidden.step(sim)
+	sim.departures.step(sim)
 	sim.submit()
 	sim.deliver()
 	for _, s := range sim.workers {
@@ -558,6 +562,7 @@
 	if sim.r.IntN(4) == 0 {
 		takes *= 5
 	}
+	takes *= max(1, sim.slowdown)
 	s.running[o.Task] = simRun{run: o.Run, remaining: takes, total: takes, order: o, incarnation: s.incarnation, startedAt: sim.now}
 	sim.stats["starts"]++
 	if sim.hazards != nil {
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -42,8 +42,11 @@
 // hasEnded reports whether the process of w has ended: its host refused a connection since the
 // takeover, and it has deregistered or no longer announces itself. One of these alone is no proof: a
 // connection may be refused by a partition, and a worker goes on for seconds if its
-// deregistration is not acknowledged.
+// deregistration is not acknowledged, which is less than probeLimit.
 func (p *Pool) hasEnded(now time.Time, w *workerState) bool {
+	if w.Deregistered && now.Sub(w.AnnouncedAt) > probeLimit {
+		return true
+	}
 	return w.noListenerAt.After(later(p.startedAt, w.lastReplyAt)) && (w.Deregistered || now.Sub(w.AnnouncedAt) >= worker.AnnouncementTimeout)
 }
 
--- a/internal/pool/takeover_test.go
+++ b/internal/pool/takeover_test.go
@@ -150,17 +150,22 @@
 		name         string
 		age          time.Duration
 		deregistered bool
+		refuses      bool // its host refuses connections; else it is silent
 		starts       int
 	}{
-		{"crashed long ago", worker.AnnouncementTimeout, false, 1},
-		{"deregistered", 0, true, 1},
-		{"announced itself just now", 0, false, 0},
+		{"crashed long ago", worker.AnnouncementTimeout, false, true, 1},
+		{"deregistered", 0, true, true, 1},
+		{"announced itself just now", 0, false, true, 0},
+		{"deregistered, silent", 0, true, false, 0},
+		{"deregistered long ago, silent", probeLimit + time.Second, true, false, 1},
 	} {
 		h := newHarness(t, 1)
 		h.announceLate(c.age, c.deregistered)
 		h.pool.Submit(h.now, patientRequest(time.Second))
 		h.advance(5 * time.Millisecond)
-		h.reply(h.ordersOfKind(RenewOrder)[0], Reply{NoListener: true})
+		for _, o := range h.ordersOfKind(RenewOrder) {
+			h.reply(o, Reply{NoListener: c.refuses})
+		}
 		h.advance(5 * time.Millisecond)
 		if list := h.ordersOfKind(StartOrder); len(list) != c.starts {
 			t.Errorf("%s: starts %+v, want %d", c.name, list, c.starts)
