TestJobThatDispatchersFailOnIsGivenUp runs on the clock of the test

Cause, read and then reproduced: the only VM steps down as its dispatcher panics, and may lead again after refusalBackoff (1 s) at its next tick (60 ms), which leaves 0.44 s of noLeaderTimeout (1.5 s). The two delays do not add up: after a pause of over MaxTickGap (0.5 s) the VM listens anew for listenDuration (0.6 s) from the end of the pause, beside the backoff. So one pause that ends 0.9 s or more after the step-down is enough. Trials, the process of the old test stopped with SIGSTOP: passed with a stop of 0.2 s or 0.55 s at 0.6 s and of 0.55 s at 0.1 s after its start (3 times each), failed with one of 0.55 s at 1.0 s and of 0.7 s at 0.9 s (once each), after 1.51 s with the answer of the entry. The one failure in the entry had no trace, so this is a cause that fits it, not one shown for it.

The test assumed a process without such pauses. The answer it got is true: the job is abandoned after 1.5 s without a leader. The product is not changed; PROOFS.md names the case of a VM that is alone.

Change: the test runs in testing/synctest, where time passes only while all goroutines wait. Its checks and bounds are as they were. It still fails with maxDispatcherFailures = 20 (after 19.75 s) and without recordGivenUp (the second answer after 2.08 s).

--- a/tamarackpin/internal/gate/gate_test.go
+++ b/tamarackpin/internal/gate/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,8 +42,13 @@
 }
 
 // TestJobThatDispatchersFailOnIsGivenUp guards against a job that is forwarded to one
-// dispatcher after the other, each of which panics and steps down.
+// dispatcher after the other, each of which panics and steps down. The clock is that of the test: a pause of the
+// process for over 0.5 s makes the only VM listen again before it leads, for longer than the job waits for a leader.
 func TestJobThatDispatchersFailOnIsGivenUp(t *testing.T) {
+	synctest.Test(t, testJobThatDispatchersFailOnIsGivenUp)
+}
+
+func testJobThatDispatchersFailOnIsGivenUp(t *testing.T) {
 	k := fleet.NewKnowledge(vm.Presence{VM: "ip-0a000001", FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
 	var x peer.Mux
 	g := group.New(time.Now().Add(-time.Minute), group.Config{Knowledge: k, Syncer: &fleet.Syncer{Knowledge: k, Log: zap.NewNop()}, Log: zap.NewNop()}, &x)
