A test that fails: a replaced dispatcher is obeyed by workers that only it reaches

The schedules of handovers had every replaced dispatcher stop at once. Here it goes on for up to 1 s (lead.isolationTimeout), and its successor does not reach some workers for up to 3 s.

--- a/internal/pool/handover_test.go
+++ b/internal/pool/handover_test.go
@@ -89,6 +89,8 @@
 	// the others.
 	lostGates   *rand.Rand
 	resubmitted map[time.Time][]job.ID // by the callers whose gates were lost, as new jobs
+	// predecessors makes replaced dispatchers go on, in schedules with such; nil in the others.
+	predecessors *predecessors
 }
 
 const (
@@ -133,9 +135,13 @@
 			}
 		}
 	}
+	replaced := sim.groups[g]
 	sim.takeover(lead.Group(g))
 	sim.stats["handovers"]++
 	sim.departures.cutOff(sim, sim.groups[g])
+	if h.predecessors != nil {
+		h.predecessors.prolong(sim, replaced, sim.groups[g])
+	}
 }
 
 // forward has the gate of a job forward it to the new dispatcher, some time after the takeover. If the
