A test that fails: an offloaded job whose gate is lost runs in two groups

Two groups offload jobs to each other; the gates of some are lost. The other group withdraws such a job 0.9 s after the last ping, and its caller submits it again 1.3 s after the loss, to its own group or offloaded again.

--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -123,6 +123,7 @@
 	handovers  *handovers // nil in schedules without
 	hidden     *hiddenWorkers
 	departures *departures
+	offloads   *offloads     // nil in schedules without
 	slowdown   time.Duration // factor of the time that runs take; 0 stands for 1
 	lateStarts lateStartSharing
 	concurrent error // of the first start beside a run of the same task on the same worker
@@ -266,7 +267,11 @@
 	}
 	sim.hidden.step(sim)
 	sim.departures.step(sim)
-	sim.submit()
+	if sim.offloads != nil {
+		sim.offloads.step(sim)
+	} else {
+		sim.submit()
+	}
 	sim.deliver()
 	for _, s := range sim.workers {
 		sim.advanceRuns(s)
@@ -300,7 +305,7 @@
 		sim.partitionedUntil[[2]int{sim.groups[sim.r.IntN(len(sim.groups))], sim.r.IntN(simWorkers)}] = sim.now.Add(time.Duration(sim.r.IntN(2500)) * time.Millisecond)
 		sim.stats["partitions"]++
 	case 4:
-		if g := sim.r.IntN(len(sim.groups)); len(sim.pools) < 8 && sim.groups[g] >= 0 {
+		if g := sim.r.IntN(len(sim.groups)); len(sim.pools) < 8 && sim.groups[g] >= 0 && sim.offloads == nil {
 			// The old dispatcher was frozen, and gives up when it resumes; or it is
 			// partitioned from all other VMs, and gives up soon after (lead.Leadership).
 			sim.stopsAt[sim.groups[g]] = sim.now.Add(time.Duration(sim.r.IntN(2)*sim.r.IntN(500)) * time.Millisecond)
@@ -308,7 +313,7 @@
 			sim.stats["takeovers"]++
 		}
 	case 5:
-		if sim.stats["divisions"] < 2 {
+		if sim.stats["divisions"] < 2 && sim.offloads == nil {
 			sim.divide()
 		}
 	}
@@ -392,6 +397,9 @@
 		if sim.handovers != nil {
 			sim.handovers.lose(sim, &f)
 		}
+		if sim.offloads != nil {
+			sim.offloads.disturb(sim, &f)
+		}
 		sim.events = append(sim.events, f)
 		// Without a reply the dispatcher gets an empty reply after its timeout.
 		sim.events = append(sim.events, scheduledEvent{orderID: f.orderID, pool: i, order: o, at: sim.now.Add(o.Wait + OrderTimeout), reply: &Reply{Order: o}})
