The age of another group's report is judged after the wait for the own group

A job that its own group returned as offloaded before was matched with the report of the other group as of the time before it was forwarded, so that an outdated dispatcher could count as the present one. The present time is passed. Besides, comments of the takeover say what their bound rests on, and a field has the name that its log line has.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -160,13 +160,13 @@
 // FoundRun is a run that a worker listed although this Pool had not ordered it there: one of an
 // earlier dispatcher, or a late start.
 type FoundRun struct {
-	Task        job.Task
-	Run         job.Run
-	Worker      worker.ID
-	Incarnation worker.Incarnation
-	AssignedTo  worker.ID     // worker on which this Pool has the task; empty if none
-	KnownFor    time.Duration // how long this Pool has known the worker
-	AfterStart  time.Duration // time since the takeover
+	Task          job.Task
+	Run           job.Run
+	Worker        worker.ID
+	Incarnation   worker.Incarnation
+	AssignedTo    worker.ID     // worker on which this Pool has the task; empty if none
+	KnownFor      time.Duration // how long this Pool has known the worker
+	SinceTakeover time.Duration
 }
 
 // TakeFound returns the runs found since its last call.
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -151,7 +151,7 @@
 
 // recordFound records a run that w lists and that is not assigned to it.
 func (p *Pool) recordFound(now time.Time, w *workerState, row RunningTask) {
-	f := FoundRun{Task: row.Task, Run: row.Run, Worker: w.Worker, Incarnation: w.Incarnation, KnownFor: now.Sub(w.knownSince), AfterStart: now.Sub(p.startedAt)}
+	f := FoundRun{Task: row.Task, Run: row.Run, Worker: w.Worker, Incarnation: w.Incarnation, KnownFor: now.Sub(w.knownSince), SinceTakeover: now.Sub(p.startedAt)}
 	if other := p.assignment(row.Task); other != nil {
 		f.AssignedTo = other.Worker
 	}
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -11,7 +11,7 @@
 // this Pool knowing of it: on a worker that has not listed its runs since the takeover, or
 // on one that this Pool does not know. Any job may have such a run, also one that comes as
 // new: if its gate was lost, its caller submits it again through another one.
-// Once the leases of the earlier dispatchers are over there are none.
+// Once leasesOver there are none.
 func (p *Pool) mayHaveUnknownRuns(now time.Time) bool {
 	if p.leasesOver(now) {
 		return false
@@ -19,7 +19,8 @@
 	return p.config.WorkersIncomplete && !p.config.FirstDispatcher || slices.ContainsFunc(p.byID, func(w *workerState) bool { return p.unlisted(now, w) })
 }
 
-// leasesOver reports whether all leases that earlier dispatchers obtained have lapsed.
+// leasesOver reports whether all leases that earlier dispatchers obtained have lapsed, given that
+// these were fenced, or have stepped down for want of contact, within recoveryDelay less a lease.
 func (p *Pool) leasesOver(now time.Time) bool { return now.Sub(p.startedAt) >= recoveryDelay }
 
 // mayHaveStarted reports whether a task of j may have been started, so that j is neither answered
@@ -62,7 +63,7 @@
 type Takeover struct {
 	Since             time.Duration // since the takeover
 	Workers           int           // number of workers known
-	Unlisted          []worker.ID   // those that have not listed their runs since the takeover, unless they are known to run nothing
+	Unlisted          []worker.ID   // those that have not listed their runs since the takeover, without those that have ended
 	WorkersIncomplete bool          // there may be workers that are not known
 	RunsKnown         bool          // the Pool knows every run that may go on
 }
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -141,7 +141,7 @@
 		}
 		if result.Answered {
 			offloadTried = true
-			if a, ok := g.offload(ctx, now, result.Answer.OffloadTo, spare, r); ok {
+			if a, ok := g.offload(ctx, time.Now(), result.Answer.OffloadTo, spare, r); ok {
 				return a
 			}
 			r.OffloadRefused = true
