Log how long peers and the gate of a job have been silent, and who refused a fence

The log could not tell the hypotheses of run-under-two-dispatchers apart: 801 and 802 now have the age of the last sign of life of each other entry VM, 802 the worker that refused the fence, and 807 and 819 how long no gate of the job was heard.

--- a/internal/lead/liveness.go
+++ b/internal/lead/liveness.go
@@ -101,3 +101,12 @@
 	slices.SortFunc(live, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
 	return live
 }
+
+// PeerAges returns the age in seconds of the last sign of life of each peer, for the log.
+func (l *Leadership) PeerAges(now time.Time) map[vm.ID]float64 {
+	ages := make(map[vm.ID]float64)
+	for id, p := range l.peers {
+		ages[id] = now.Sub(p.LastSeen).Seconds()
+	}
+	return ages
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -117,7 +117,7 @@
 	answers    []Answer   // not yet taken by TakePending
 	found      []FoundRun // not yet taken by TakeFound
 	lastShedAt time.Time  // when shedLoad last ran
-	fenced     bool       // a worker refused the fence: nothing more is ordered
+	fencedBy   worker.ID  // worker that refused the fence, after which nothing more is ordered
 	Counts     Counts
 }
 
@@ -177,7 +177,10 @@
 }
 
 // Fenced reports whether a worker refused the Pool's fence.
-func (p *Pool) Fenced() bool { return p.fenced }
+func (p *Pool) Fenced() bool { return p.fencedBy != "" }
+
+// FencedBy returns the worker that refused the Pool's fence, or "" if none has.
+func (p *Pool) FencedBy() worker.ID { return p.fencedBy }
 
 // UpdateWorker records the newest announcement of a worker, and adds the worker if it is unknown. An
 // announcement of an incarnation that has ended is ignored. One of a lower incarnation at the same
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -11,7 +11,7 @@
 // worker's incarnation and the Pool's fence. An order with a Deadline may prolong
 // leases, and moves leasesUntil. Once the fence was refused, orders are dropped.
 func (p *Pool) enqueueOrder(now time.Time, w *workerState, o Order) {
-	if p.fenced {
+	if p.Fenced() {
 		return
 	}
 	o.Worker, o.Incarnation, o.Address = w.Worker, w.Incarnation, w.Address
@@ -34,7 +34,7 @@
 // reply, or whose announcements stopped, are probed. A worker that may run nothing and
 // that has neither announced itself nor replied for probeLimit is not queried.
 func (p *Pool) poll(now time.Time, w *workerState) {
-	if p.fenced || w.renewPending || w.stale || w.Address == "" {
+	if p.Fenced() || w.renewPending || w.stale || w.Address == "" {
 		return
 	}
 	probe := (w.missedReplies > 0 && w.Usable(now) || w.needsProbe(now)) && now.Sub(w.renewSentAt) >= probeInterval
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -47,7 +47,7 @@
 	}
 	switch {
 	case r.Refusal == RefusedFence:
-		p.fenced = true
+		p.fencedBy = w.Worker
 		p.orders = nil
 		return
 	case r.Refusal == RefusedIncarnation:
@@ -170,7 +170,7 @@
 // renewals, caller deadlines and load shedding. Each of these is late by up to the
 // time between two calls.
 func (p *Pool) Tick(now time.Time) {
-	if p.fenced {
+	if p.Fenced() {
 		return
 	}
 	for _, w := range p.byID {
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -10,7 +10,7 @@
 // scheduleTasks starts waiting tasks in the order of readyJobs while workers have
 // room. Most events free no room; nothing is sorted then.
 func (p *Pool) scheduleTasks(now time.Time) {
-	if p.fenced || len(p.jobs) == 0 || p.newlyDivided(now) || p.mayHaveUnknownRuns(now) {
+	if p.Fenced() || len(p.jobs) == 0 || p.newlyDivided(now) || p.mayHaveUnknownRuns(now) {
 		return
 	}
 	candidates := p.workersWithRoom(now)
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -30,7 +30,8 @@
 		if claim, claimed := s.leadership.Tick(now, controlReplyAt, others); claimed {
 			incomplete := g.workersIncomplete(now)
 			event.Log(g.config.Log, event.LeadTaken, zap.Int("group", i), zap.Int64("fence", int64(claim.Fence)), zap.Int("living", len(s.leadership.LivePeers(now))),
-				zap.Bool("workers_incomplete", incomplete), zap.Bool("first", first), zap.Any("control_news_seconds", g.config.Syncer.ContactAges(now)))
+				zap.Bool("workers_incomplete", incomplete), zap.Bool("first", first), zap.Any("control_news_seconds", g.config.Syncer.ContactAges(now)),
+				zap.Any("peer_news_seconds", s.leadership.PeerAges(now)))
 			s.dropPool()
 			s.pool = pool.New(now, pool.Config{Fence: claim.Fence, LeaseMax: g.config.LeaseMax, StopMax: g.config.StopMax, DividedAt: g.dividedAt, WorkersIncomplete: incomplete, FirstDispatcher: first, Crashes: &g.crashes, LateStarts: &g.lateStarts})
 			s.cursor, s.runsKnownLogged, g.workersUpdatedAt = 0, false, time.Time{}
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -187,6 +187,7 @@
 func (g *Group) receiveHeartbeat(ctx context.Context, hb heartbeat) {
 	now := time.Now()
 	g.recordExchange(now, hb.Self.VM)
+	g.signs.record(hb.Self.VM, now)
 	g.config.Knowledge.ObserveVM(now, hb.Self, 0)
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.applyHeartbeat(now, hb) })
 	g.config.Syncer.TableAnnounced(ctx, hb.Self.VM, hb.Version)
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -78,6 +78,8 @@
 	answerMu    sync.Mutex          // guards lastAnswers
 	lastAnswers map[vm.ID]time.Time // of jobs forwarded to other VMs as leaders
 
+	signs signsOfLife
+
 	pingMu    sync.Mutex // guards lastPings
 	lastPings map[vm.ID]time.Time
 
@@ -268,7 +270,7 @@
 		}
 		if !s.leadership.IsLeader() {
 			event.Log(g.config.Log, event.LeadLost, zap.Int("group", i), zap.Bool("refused", s.pool.Fenced()), zap.Int64("newer_fence", int64(s.leadership.Claim().Fence)),
-				zap.String("newer_vm", string(s.leadership.Claim().VM)))
+				zap.String("newer_vm", string(s.leadership.Claim().VM)), zap.String("refused_by", string(s.pool.FencedBy())), zap.Any("peer_news_seconds", s.leadership.PeerAges(now)))
 			s.dropPool()
 		}
 	}
--- a/tamarackpin/internal/group/log.go
+++ b/tamarackpin/internal/group/log.go
@@ -71,6 +71,7 @@
 		fields := []zap.Field{
 			zap.String("job", string(o.Task.Job)), zap.Int("step", o.Task.Step), zap.Int("index", o.Task.Index),
 			zap.Int("run", int(o.Run)), zap.String("worker", string(o.Worker)), zap.Int64("fence", int64(o.Fence)), zap.Int("gates", gates),
+			zap.Duration("gate_silence", g.gateSilence(now, s.waiters[a])), zap.Duration("after_takeover", takeover.Since),
 		}
 		if id == event.StartUnlisted {
 			fields = append(fields, takeoverFields(takeover)...)
@@ -90,7 +91,7 @@
 // takeoverFields returns the fields that say what is known of the runs of earlier dispatchers.
 func takeoverFields(t pool.Takeover) []zap.Field {
 	return []zap.Field{
-		zap.Duration("after_takeover", t.Since), zap.Int("workers", t.Workers), zap.Bool("workers_incomplete", t.WorkersIncomplete),
+		zap.Int("workers", t.Workers), zap.Bool("workers_incomplete", t.WorkersIncomplete),
 		zap.Int("unlisted_count", len(t.Unlisted)), zap.Any("unlisted", t.Unlisted[:min(len(t.Unlisted), maxLoggedWorkers)]),
 	}
 }
@@ -105,7 +106,7 @@
 		return
 	}
 	s.runsKnownLogged = true
-	event.Log(g.config.Log, event.RunsListed, append(takeoverFields(t), zap.Int64("fence", int64(s.leadership.Claim().Fence)))...)
+	event.Log(g.config.Log, event.RunsListed, append(takeoverFields(t), zap.Duration("after_takeover", t.Since), zap.Int64("fence", int64(s.leadership.Claim().Fence)))...)
 }
 
 // logLosses logs each task under which a worker was lost, and each change of the evidence.
--- a/tamarackpin/internal/group/offload.go
+++ b/tamarackpin/internal/group/offload.go
@@ -143,6 +143,7 @@
 
 // servePing records a ping of a gate that has a job offloaded here.
 func (g *Group) servePing(_ context.Context, from vm.ID, _ struct{}) (struct{}, error) {
+	g.signs.record(from, time.Now())
 	g.pingMu.Lock()
 	defer g.pingMu.Unlock()
 	g.lastPings[from] = time.Now()
--- a/tamarackpin/internal/group/takeover_log_test.go
+++ b/tamarackpin/internal/group/takeover_log_test.go
@@ -62,3 +62,22 @@
 		t.Errorf("%s line %q: %v", l.Level, l.Message, l.ContextMap())
 	}
 }
+
+// TestStartTellsSilenceOfGate: the line on a start says for how long the gate of the job was not heard, which
+// tells a dispatcher that keeps the jobs of lost gates from its successor.
+func TestStartTellsSilenceOfGate(t *testing.T) {
+	g, starts := newLeadingGroup(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	g.config.Log = zap.New(core)
+	g.addWorker(t, "w1")
+	now := time.Now()
+	g.signs.record("ip-0a000002", now)
+	g.admit(now, forwardRequest{Ticket{"ip-0a000002", 1, 1}, 0, 0, oneTask("j", time.Second)}, make(chan result, 1))
+	const silence = 300 * time.Millisecond
+	g.applyDecisions(t.Context(), now.Add(silence))
+	<-starts
+	found := logs.FilterField(zap.Int("event", int(event.JobStarted))).All()
+	if len(found) != 1 || found[0].ContextMap()["gate_silence"] != silence {
+		t.Errorf("lines on the start: %v, want one with a gate_silence of %s", found, silence)
+	}
+}
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -75,6 +75,7 @@
 	peer.Handle(x, methodCrashes, g.serveCrashes)
 	peer.Handle(x, methodLateStarts, g.serveLateStarts)
 	peer.Handle(x, methodRun, func(ctx context.Context, from vm.ID, req forwardRequest) (forwardReply, error) {
+		g.signs.record(from, time.Now())
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		if req.Request.Offloaded {
