A forwarded job waits until its run under the predecessor is over

A gate that hears of a takeover late, as it reached the earlier dispatcher all the time, forwards its jobs to the successor when that has waited its 1.5 s already. The successor started such a job at once, also if a worker had not listed its runs that only the earlier dispatcher reached and that ran the job.

A job that a gate forwards from another dispatcher now waits for 1.3 s after it arrives, as long as some worker may have runs that are not known. Only these jobs wait.

TestForwardedJobWaitsForPredecessor fails before: the job is started on arrival. newLeadingGroup completes the list of workers, as a VM that has run for a minute does: its pool was made with an incomplete one, which did not matter once the 1.5 s were over.

--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -13,8 +13,9 @@
 func (p *Pool) Submit(now time.Time, r Request) Admission {
 	if j := p.jobs[r.Job.ID]; j != nil && !j.closed {
 		j.callerDeadline = later(j.callerDeadline, now.Add(r.RemainingWait))
-		j.MayBeRunning = j.MayBeRunning || r.MayBeRunning
-		j.mayHaveStarted = j.mayHaveStarted || r.MayBeRunning
+		if r.MayBeRunning {
+			p.recordForward(now, j)
+		}
 		return j.admission
 	}
 	if a, redirected := p.redirect(now, r); redirected {
@@ -22,7 +23,10 @@
 	}
 	p.lastAdmission++
 	j := &jobState{Request: r, admission: Admission{r.Job.ID, p.lastAdmission}, arrivedAt: now.Add(-r.Age), callerDeadline: now.Add(r.RemainingWait)}
-	j.mayHaveStarted = r.MayBeRunning || p.newlyDivided(now)
+	if r.MayBeRunning {
+		p.recordForward(now, j)
+	}
+	j.mayHaveStarted = j.mayHaveStarted || p.newlyDivided(now)
 	j.expectedWork = j.criticalPath(func(s *job.Step) time.Duration { return p.estimator.Work(r.Row, s) })
 	j.objectiveDeadline = j.arrivedAt.Add(time.Duration(r.Stretch*float64(j.expectedWork)) + r.Latency)
 	createTasks(j)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -96,6 +96,10 @@
 	maxBackoff = 3200 * time.Millisecond
 )
 
+// callerRetryDelay is how long after a lost connection callers submit a job again, as the platform states
+// it. No run goes on for longer without its gate.
+const callerRetryDelay = 1300 * time.Millisecond
+
 // Pool schedules the tasks of one group of workers under one fence. It must be
 // made by [New] and is not safe for concurrent use.
 type Pool struct {
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -21,9 +21,8 @@
 	scheduleSteps = 1600
 	stepTime      = 5 * time.Millisecond
 	simWorkers    = 4
-	// resubmitDelay is how long after a broken connection callers submit a job again,
-	// as the platform states it: longer than a lease.
-	resubmitDelay = 1300 * time.Millisecond
+	// resubmitDelay is how long after a broken connection callers submit a job again.
+	resubmitDelay = callerRetryDelay
 )
 
 // fault is an injected fault: it violates an assumption of the pool or withholds
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -16,7 +16,18 @@
 	if p.leasesOver(now) {
 		return false
 	}
-	return p.config.WorkersIncomplete && !p.config.FirstDispatcher || slices.ContainsFunc(p.byID, func(w *workerState) bool { return p.unlisted(now, w) })
+	return p.config.WorkersIncomplete && !p.config.FirstDispatcher || p.anyUnlisted(now)
+}
+
+// anyUnlisted reports whether some worker may run what it has not listed since the takeover.
+func (p *Pool) anyUnlisted(now time.Time) bool {
+	return slices.ContainsFunc(p.byID, func(w *workerState) bool { return p.unlisted(now, w) })
+}
+
+// lacksRunLists reports whether some worker may have runs that this Pool does not know. Once leasesOver,
+// these can only be of jobs that their gates forwarded here from another dispatcher since, see jobState.mayRunUntil.
+func (p *Pool) lacksRunLists(now time.Time) bool {
+	return p.config.WorkersIncomplete || p.anyUnlisted(now)
 }
 
 // leasesOver reports whether all leases that earlier dispatchers obtained have lapsed, given that
@@ -29,10 +40,11 @@
 	return j.mayHaveStarted || p.mayHaveUnknownRuns(now)
 }
 
-// mayStart reports whether tasks of j may start while mayHaveUnknownRuns is false: not those of a
-// forwarded job that may be running on an unknown worker.
-func (p *Pool) mayStart(now time.Time, j *jobState) bool {
-	return !j.MayBeRunning || !p.config.WorkersIncomplete || p.leasesOver(now)
+// recordForward records that a gate has just forwarded j from another dispatcher, which may go on
+// until its leases are over.
+func (p *Pool) recordForward(now time.Time, j *jobState) {
+	j.MayBeRunning, j.mayHaveStarted = true, true
+	j.mayRunUntil = later(now.Add(callerRetryDelay), p.startedAt.Add(recoveryDelay))
 }
 
 // unlisted reports whether w may run what it has not listed since the takeover.
--- a/internal/pool/takeover_test.go
+++ b/internal/pool/takeover_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/worker"
 )
 
@@ -182,3 +183,34 @@
 		t.Errorf("report %+v just after a division, want no free slots", r)
 	}
 }
+
+// TestForwardedJobWaitsForPredecessor: a gate heard of a takeover late and forwarded a job that the earlier
+// dispatcher was running on a worker that only it reached; the next one started the job at once (issue 50).
+func TestForwardedJobWaitsForPredecessor(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		h, unlisted := takeOver(t)
+		if listed {
+			h.reply(unlisted, Reply{Done: true})
+		}
+		h.advance(2 * recoveryDelay)
+		forwarded := patientRequest(10 * time.Second)
+		forwarded.Job.ID, forwarded.MayBeRunning = "forwarded", true
+		other := patientRequest(10 * time.Second)
+		other.Job.ID = "other"
+		h.pool.Submit(h.now, forwarded)
+		h.pool.Submit(h.now, other)
+		h.advance(callerRetryDelay - 10*time.Millisecond)
+		started := make(map[job.ID]bool)
+		for _, o := range h.ordersOfKind(StartOrder) {
+			started[o.Task.Job] = true
+		}
+		if !started["other"] || started["forwarded"] != listed {
+			t.Errorf("all workers have listed their runs: %v; jobs started: %v", listed, started)
+		}
+		h.announce("w0", 1)
+		h.advance(20 * time.Millisecond)
+		if list := h.ordersOfKind(StartOrder); !listed && len(list) != 1 {
+			t.Errorf("starts once an earlier run is over: %+v, want 1", list)
+		}
+	}
+}
--- a/tamarackpin/internal/group/refusal_test.go
+++ b/tamarackpin/internal/group/refusal_test.go
@@ -30,6 +30,7 @@
 		}
 		g.tickLeaderships(at)
 	}
+	g.updateWorkers(time.Now()) // all workers had time to announce themselves
 	return g, starts
 }
 
