The runs of a gate that is not heard end before its caller is back

A dispatcher kept the jobs of a gate that it did not hear until the callers' deadlines, and extended the leases of their runs. Such a gate may be cut off with the successor, to which it forwards its jobs, or it is lost and its callers submit them again 1.3 s later, anywhere. Only jobs offloaded from other groups were watched, and their chain of ping, stop and lease took up to 2.0 s.

A dispatcher now knows when it last heard the gates of each job, by heartbeats, pings and forwards. With no sign for 0.55 s it extends no leases on workers with runs of the job and starts none of it; after 0.9 s it withdraws the job (event 820). The last lease ends 1.284 s after the sign, also on a clock that is 2% slow.

TestJobOfSilentGateIsWithdrawn replaces TestOffloadedJobIsWithdrawnWithoutPings: the same bounds, for heartbeats as well, on the withdrawal that both now have in common.

--- /dev/null
+++ b/internal/pool/gates.go
@@ -0,0 +1,47 @@
+package pool
+
+import "time"
+
+// GateContact is what a dispatcher knows of the gates that wait for an admission.
+type GateContact struct {
+	HeardAt time.Time // when the newest message of any of them arrived
+}
+
+// Bounds for the jobs of gates that are not heard. Such a gate may have forwarded the job to the
+// next dispatcher, or its caller submits the job again through another gate, anywhere,
+// callerRetryDelay after the loss of this one. So no lease of a job outlasts the newest message of its gates by
+// callerRetryDelay.
+const (
+	// callerRetryDelay is how long after a lost connection callers submit a job again, as the platform
+	// states it.
+	callerRetryDelay = 1300 * time.Millisecond
+	// maxLeaseSilence is the longest silence of its gates in which a job is started and leases of
+	// its runs are extended: with a lease, on a clock that may be slow, less than callerRetryDelay.
+	maxLeaseSilence = 550 * time.Millisecond
+	// MaxGateSilence is the silence of a gate after which its jobs are to be withdrawn: less than the
+	// silence in which leases of other runs on the same workers lapse.
+	MaxGateSilence = 900 * time.Millisecond
+)
+
+// observeGate updates what is known of the gates of a pending job.
+func (p *Pool) observeGate(now time.Time, j *jobState) {
+	c := GateContact{HeardAt: now}
+	if p.config.GateContact != nil {
+		c = p.config.GateContact(now, j.admission)
+	}
+	j.gate.HeardAt = later(j.gate.HeardAt, c.HeardAt)
+}
+
+// observeGates updates what is known of the gates of all pending jobs.
+func (p *Pool) observeGates(now time.Time) {
+	for _, j := range p.jobs {
+		if !j.closed {
+			p.observeGate(now, j)
+		}
+	}
+}
+
+// gateSilent reports whether no gate of j was heard lately enough for j to get leases.
+func (p *Pool) gateSilent(now time.Time, j *jobState) bool {
+	return p.config.GateContact != nil && now.Sub(j.gate.HeardAt) > maxLeaseSilence
+}
--- /dev/null
+++ b/internal/pool/gates_test.go
@@ -0,0 +1,113 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/worker"
+)
+
+// gateMoves records when the gates of jobs left dispatchers that were replaced, and when those of
+// offloaded jobs were last heard.
+type gateMoves struct {
+	replaced map[int]bool // dispatchers, as indexes
+	leftAt   map[gateOfJob]time.Time
+}
+
+// gateOfJob names the gate of a job at a dispatcher.
+type gateOfJob struct {
+	pool int
+	job  job.ID
+}
+
+func newGateMoves() gateMoves {
+	return gateMoves{replaced: make(map[int]bool), leftAt: make(map[gateOfJob]time.Time)}
+}
+
+// leave records that the gate of a job has left all dispatchers that were replaced by then.
+func (m *gateMoves) leave(at time.Time, id job.ID) {
+	for i := range m.replaced {
+		if _, left := m.leftAt[gateOfJob{i, id}]; !left {
+			m.leftAt[gateOfJob{i, id}] = at
+		}
+	}
+}
+
+// lose records that the gate of a job was lost at a time that may be past.
+func (m *gateMoves) lose(at time.Time, pool int, id job.ID) { m.leftAt[gateOfJob{pool, id}] = at }
+
+// contact returns what a dispatcher knows of the gate of a job.
+func (m *gateMoves) contact(now time.Time, pool int, id job.ID) GateContact {
+	if at, left := m.leftAt[gateOfJob{pool, id}]; left {
+		now = at
+	}
+	return GateContact{HeardAt: now}
+}
+
+// withdrawLost withdraws the jobs of lost gates, as package group does.
+func (sim *simulation) withdrawLost() {
+	for key, at := range sim.gates.leftAt {
+		if a, pending := sim.pools[key.pool].Lookup(key.job); pending && !sim.hasStopped(key.pool) && sim.now.Sub(at) >= MaxGateSilence {
+			sim.pools[key.pool].Withdraw(sim.now, a)
+			sim.stats["withdrawn by silence"]++
+		}
+	}
+}
+
+// submitTo submits a job to a dispatcher; its gate leaves those that were replaced.
+func (sim *simulation) submitTo(p *Pool, r Request) {
+	sim.gates.leave(sim.now, r.Job.ID)
+	p.Submit(sim.now, r)
+}
+
+// watchedHarness returns a harness with workers that have listed no runs, whose dispatcher asks contact for
+// the gates of its jobs.
+func watchedHarness(t *testing.T, workers int, contact func(now time.Time) GateContact) *harness {
+	h := newHarness(t, workers)
+	h.pool.config.GateContact = func(now time.Time, _ Admission) GateContact { return contact(now) }
+	return h
+}
+
+// TestLeaseEndsBeforeCallerRetries: the bounds of the leases of a gate that is not heard.
+func TestLeaseEndsBeforeCallerRetries(t *testing.T) {
+	slowest := worker.LapsedBy(time.Time{}, leaseDuration).Sub(time.Time{})
+	if longest := maxLeaseSilence + slowest; longest >= callerRetryDelay {
+		t.Errorf("a run may go on for %s after its gate was last heard, its caller is back after %s", longest, callerRetryDelay)
+	}
+	if MaxGateSilence >= maxLeaseSilence+leaseDuration {
+		t.Errorf("the jobs of a silent gate are withdrawn after %s, when leases have lapsed", MaxGateSilence)
+	}
+}
+
+// TestRunOfSilentGateGetsNoLease: a dispatcher extended the leases of a job whose gate had moved on to the
+// next one until the caller's deadline (issue 50).
+func TestRunOfSilentGateGetsNoLease(t *testing.T) {
+	var heardAt time.Time
+	h := watchedHarness(t, 1, func(time.Time) GateContact { return GateContact{HeardAt: heardAt} })
+	heardAt = h.now
+	h.pool.Submit(h.now, patientRequest(10*time.Second))
+	starts := h.ordersOfKind(StartOrder)
+	if len(starts) != 1 {
+		t.Fatalf("starts %+v, want 1", starts)
+	}
+	h.reply(starts[0], Reply{Done: true})
+	var last time.Time
+	for h.now.Sub(heardAt) < 2*time.Second {
+		h.advance(5 * time.Millisecond)
+		orders, _ := h.takePending()
+		for _, o := range orders {
+			if o.Deadline != 0 {
+				last = h.now
+			}
+			r := Reply{Done: true}
+			if o.Kind == RenewOrder {
+				r.Running = []RunningTask{{Task: starts[0].Task, Run: starts[0].Run}}
+			}
+			h.reply(o, r)
+		}
+	}
+	if silence := last.Sub(heardAt); last.IsZero() || silence+leaseDuration > callerRetryDelay {
+		t.Errorf("the newest lease was given %s after the gate was heard", silence)
+	}
+}
--- a/internal/pool/handover_test.go
+++ b/internal/pool/handover_test.go
@@ -107,13 +107,13 @@
 		if p, ok := sim.owner(string(id)); ok && sim.outcomes[id] == "" {
 			r := sim.jobs[id]
 			r.MayBeRunning = true
-			p.Submit(sim.now, r)
+			sim.submitTo(p, r)
 		}
 	}
 	delete(h.forwards, sim.now)
 	for _, id := range h.resubmitted[sim.now] {
 		if p, ok := sim.owner(string(id)); ok && sim.outcomes[id] == "" {
-			p.Submit(sim.now, sim.jobs[id])
+			sim.submitTo(p, sim.jobs[id])
 			sim.stats["resubmitted"]++
 		}
 	}
@@ -151,6 +151,9 @@
 	if h.lostGates != nil && h.lostGates.IntN(3) == 0 {
 		at := sim.now.Add(time.Duration(1+h.lostGates.IntN(int(resubmitDelay/stepTime))) * stepTime)
 		h.resubmitted[at] = append(h.resubmitted[at], id)
+		for i := range sim.gates.replaced {
+			sim.gates.lose(at.Add(-resubmitDelay), i, id)
+		}
 		return
 	}
 	at := sim.now.Add(time.Duration(1+h.r.IntN(60)) * stepTime)
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -13,6 +13,7 @@
 func (p *Pool) Submit(now time.Time, r Request) Admission {
 	if j := p.jobs[r.Job.ID]; j != nil && !j.closed {
 		j.callerDeadline = later(j.callerDeadline, now.Add(r.RemainingWait))
+		j.gate.HeardAt = now
 		if r.MayBeRunning {
 			p.recordForward(now, j)
 		}
@@ -23,6 +24,7 @@
 	}
 	p.lastAdmission++
 	j := &jobState{Request: r, admission: Admission{r.Job.ID, p.lastAdmission}, arrivedAt: now.Add(-r.Age), callerDeadline: now.Add(r.RemainingWait)}
+	j.gate.HeardAt = now
 	if r.MayBeRunning {
 		p.recordForward(now, j)
 	}
--- a/internal/pool/offload_schedule_test.go
+++ b/internal/pool/offload_schedule_test.go
@@ -11,11 +11,8 @@
 	"tamarackpin.example/internal/worker"
 )
 
-// Bounds of offloaded jobs, those of package group.
-const (
-	offloadPingInterval = 250 * time.Millisecond
-	offloadMaxPingGap   = 900 * time.Millisecond
-)
+// offloadPingInterval is the interval of the pings of package group.
+const offloadPingInterval = 250 * time.Millisecond
 
 // offloads has two groups that offload jobs to each other. The gates of some of these jobs are lost, and
 // stops get lost or are carried out late.
@@ -23,6 +20,7 @@
 	r        *rand.Rand
 	at       map[job.ID]lead.Group // where a job was submitted
 	gateLost map[job.ID]bool
+	lastPing map[job.ID]time.Time // of a lost gate
 	planned  map[time.Time][]func()
 	// latePercent is the share of stops that are lost or carried out late.
 	latePercent int
@@ -42,7 +40,7 @@
 	}
 	sim.slowdown = 4
 	sim.offloads = &offloads{
-		r: rand.New(rand.NewPCG(seed, 11)), at: make(map[job.ID]lead.Group), gateLost: make(map[job.ID]bool),
+		r: rand.New(rand.NewPCG(seed, 11)), at: make(map[job.ID]lead.Group), gateLost: make(map[job.ID]bool), lastPing: make(map[job.ID]time.Time),
 		planned: make(map[time.Time][]func()), latePercent: 25,
 	}
 	return sim
@@ -93,7 +91,15 @@
 	sim.pools[sim.groups[g]].Submit(sim.now, r)
 }
 
-// loseGate loses the gate of an offloaded job: the other group withdraws it offloadMaxPingGap after the last
+// contact returns what the dispatcher of a group knows of the gate of a job.
+func (o *offloads) contact(sim *simulation, now time.Time, pool int, id job.ID) GateContact {
+	if o.gateLost[id] && pool == sim.groups[o.at[id]] {
+		now = o.lastPing[id]
+	}
+	return GateContact{HeardAt: now}
+}
+
+// loseGate loses the gate of an offloaded job: the other group withdraws it MaxGateSilence after the last
 // ping, and its caller submits it again after resubmitDelay.
 func (o *offloads) loseGate(sim *simulation, id job.ID) {
 	p := sim.pools[sim.groups[o.at[id]]]
@@ -103,7 +109,9 @@
 	}
 	o.gateLost[id] = true
 	sim.stats["gates lost"]++
-	o.after(sim, offloadMaxPingGap-time.Duration(o.r.Int64N(int64(offloadPingInterval))), func() { p.Withdraw(sim.now, a) })
+	sincePing := time.Duration(o.r.Int64N(int64(offloadPingInterval)))
+	o.lastPing[id] = sim.now.Add(-sincePing)
+	o.after(sim, MaxGateSilence-sincePing, func() { p.Withdraw(sim.now, a) })
 	o.after(sim, resubmitDelay, func() {
 		delete(sim.outcomes, id)
 		o.gateLost[id] = false
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -63,6 +63,9 @@
 	// LateStarts has the starts without a reply, also those of earlier dispatchers; nil means
 	// none. The Pool adds to it.
 	LateStarts *latestart.Log
+	// GateContact returns what is known of the gates that wait for an admission. Nil stands for gates that are
+	// heard all the time.
+	GateContact func(now time.Time, a Admission) GateContact
 }
 
 // Bounds of leases, orders and backoff.
@@ -96,10 +99,6 @@
 	maxBackoff = 3200 * time.Millisecond
 )
 
-// callerRetryDelay is how long after a lost connection callers submit a job again, as the platform states
-// it. No run goes on for longer without its gate.
-const callerRetryDelay = 1300 * time.Millisecond
-
 // Pool schedules the tasks of one group of workers under one fence. It must be
 // made by [New] and is not safe for concurrent use.
 type Pool struct {
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -60,15 +60,16 @@
 	p.enqueueOrder(now, w, o)
 }
 
-// leasesMustLapse reports whether w has a run that no gate waits for here, or one that has not
-// stopped in spite of its orders. A deadline extends the leases of all runs there, and the
+// leasesMustLapse reports whether w has a run that no gate waits for here, or whose gates are silent, or one
+// that has not stopped in spite of its orders. A deadline extends the leases of all runs there, and the
 // caller of such a job may submit it in another failure domain, which knows nothing of the run.
 func (p *Pool) leasesMustLapse(now time.Time, w *workerState) bool {
 	if len(w.orphans) > 0 {
 		return true
 	}
 	for _, t := range w.tasks {
-		if t.phase == stopping && t.stopAckedAt.IsZero() && now.Sub(t.stoppingSince) > stopPatience {
+		unstopped := t.phase == stopping && t.stopAckedAt.IsZero()
+		if unstopped && now.Sub(t.stoppingSince) > stopPatience || (unstopped || !t.job.closed) && p.gateSilent(now, t.job) {
 			return true
 		}
 	}
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -173,6 +173,7 @@
 	if p.Fenced() {
 		return
 	}
+	p.observeGates(now)
 	for _, w := range p.byID {
 		for _, t := range assignedTasks(w) {
 			p.checkTask(now, w, t)
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -125,6 +125,7 @@
 	offloads   *offloads     // nil in schedules without
 	slowdown   time.Duration // factor of the time that runs take; 0 stands for 1
 	lateStarts lateStartSharing
+	gates      gateMoves
 	concurrent error // of the first start beside a run of the same task on the same worker
 }
 
@@ -132,6 +133,7 @@
 	sim := &simulation{
 		r: rand.New(rand.NewPCG(seed, 1)), fault: f, now: time.Unix(1000, 0), partitionedUntil: make(map[[2]int]time.Time),
 		stopsAt: make(map[int]time.Time), jobs: make(map[job.ID]Request), withdrawnAt: make(map[job.ID]time.Time), outcomes: make(map[job.ID]job.Outcome), stats: make(map[string]int), replied: make(map[int]bool),
+		gates: newGateMoves(),
 	}
 	for i := range simWorkers {
 		s := &simWorker{id: worker.ID(fmt.Sprint("w", i)), rate: 1 - worker.ClockDrift*sim.r.Float64()}
@@ -184,6 +186,16 @@
 		c.DividedAt = sim.divisionKnownAt[g]
 	}
 	c.WorkersIncomplete = sim.hidden.hideSome(sim, g)
+	self := len(sim.pools)
+	c.GateContact = func(now time.Time, a Admission) GateContact {
+		if sim.offloads != nil {
+			return sim.offloads.contact(sim, now, self, a.Job)
+		}
+		return sim.gates.contact(now, self, a.Job)
+	}
+	if replaced := sim.groups[g]; replaced >= 0 {
+		sim.gates.replaced[replaced] = true
+	}
 	p := New(sim.now, c)
 	sim.pools = append(sim.pools, p)
 	sim.groups[g] = len(sim.pools) - 1
@@ -200,7 +212,7 @@
 				sim.handovers.forward(sim, id)
 				continue
 			}
-			p.Submit(sim.now, r)
+			sim.submitTo(p, r)
 		}
 	}
 }
@@ -217,6 +229,7 @@
 func (sim *simulation) divide() {
 	for _, i := range sim.groups {
 		if i >= 0 {
+			sim.gates.replaced[i] = true
 			sim.stopsAt[i] = sim.now.Add(sim.noticeDelay())
 		}
 	}
@@ -271,6 +284,7 @@
 	} else {
 		sim.submit()
 	}
+	sim.withdrawLost()
 	sim.deliver()
 	for _, s := range sim.workers {
 		sim.advanceRuns(s)
@@ -344,14 +358,14 @@
 		}
 		sim.jobs[r.Job.ID] = r
 		if p, ok := sim.owner(string(r.Job.ID)); ok {
-			p.Submit(sim.now, r)
+			sim.submitTo(p, r)
 		}
 		sim.stats["jobs"]++
 	case 1:
 		if sim.lastJob > 0 { // again, through another gate
 			id := job.ID(fmt.Sprint("j", 1+sim.r.IntN(sim.lastJob)))
 			if p, ok := sim.owner(string(id)); ok && sim.outcomes[id] == "" && sim.now.Sub(sim.withdrawnAt[id]) > resubmitDelay && !sim.handovers.forwarding(id) {
-				p.Submit(sim.now, sim.jobs[id])
+				sim.submitTo(p, sim.jobs[id])
 			}
 		}
 	case 2:
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -86,11 +86,12 @@
 	objectiveDeadline time.Time     // objective deadline (SLO): arrivedAt, plus Stretch times the expected work, plus Latency
 	expectedWork      time.Duration // of the longest chain of steps, on a worker of factor 1
 	tasks             []*task
-	remaining         int       // number of tasks not done
-	mayHaveStarted    bool      // a task may have been started, here or by another dispatcher; it is not answered as not run then, see Pool.mayHaveStarted
-	expectedLate      bool      // expected to miss its objective deadline, given the work ahead of it; served after the others
-	closed            bool      // answered or withdrawn; its tasks may still be stopping
-	mayRunUntil       time.Time // until then, a task that another dispatcher started may be running; zero if none was
+	remaining         int         // number of tasks not done
+	mayHaveStarted    bool        // a task may have been started, here or by another dispatcher; it is not answered as not run then, see Pool.mayHaveStarted
+	expectedLate      bool        // expected to miss its objective deadline, given the work ahead of it; served after the others
+	closed            bool        // answered or withdrawn; its tasks may still be stopping
+	gate              GateContact // as of the last Tick while it was pending
+	mayRunUntil       time.Time   // until then, a task that another dispatcher started may be running; zero if none was
 }
 
 // createTasks adds the tasks of all steps of j, waiting.
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -33,7 +33,10 @@
 				zap.Bool("workers_incomplete", incomplete), zap.Bool("first", first), zap.Any("control_news_seconds", g.config.Syncer.ContactAges(now)),
 				zap.Any("peer_news_seconds", s.leadership.PeerAges(now)))
 			s.dropPool()
-			s.pool = pool.New(now, pool.Config{Fence: claim.Fence, LeaseMax: g.config.LeaseMax, StopMax: g.config.StopMax, DividedAt: g.dividedAt, WorkersIncomplete: incomplete, FirstDispatcher: first, Crashes: &g.crashes, LateStarts: &g.lateStarts})
+			s.pool = pool.New(now, pool.Config{
+				Fence: claim.Fence, LeaseMax: g.config.LeaseMax, StopMax: g.config.StopMax, DividedAt: g.dividedAt, WorkersIncomplete: incomplete, FirstDispatcher: first, Crashes: &g.crashes, LateStarts: &g.lateStarts,
+				GateContact: func(now time.Time, a pool.Admission) pool.GateContact { return g.gateContact(now, s.waiters[a]) },
+			})
 			s.cursor, s.runsKnownLogged, g.workersUpdatedAt = 0, false, time.Time{}
 		}
 		if leaderless {
--- a/tamarackpin/internal/group/forward_test.go
+++ b/tamarackpin/internal/group/forward_test.go
@@ -1,46 +1,60 @@
 package group
 
 import (
-	"context"
 	"testing"
 	"time"
 
-	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/internal/pool"
 )
 
-// TestOffloadedJobIsWithdrawnWithoutPings guards against an offloaded job that runs twice:
-// when its gate becomes unreachable, the other group must withdraw it before the caller
-// retries, but not while pings arrive (issue 10; recorded incident inc-9a18 of bunkerline).
-func TestOffloadedJobIsWithdrawnWithoutPings(t *testing.T) {
+// TestJobOfSilentGateIsWithdrawn guards against a job that runs twice: when its gate becomes unreachable, the
+// dispatcher must withdraw it before the caller retries, but not while the gate is heard: by pings of one that
+// offloaded the job here, or by heartbeats (issue 10, recorded incident inc-9a18 of bunkerline; issue 50).
+func TestJobOfSilentGateIsWithdrawn(t *testing.T) {
 	const callerRetryDelay = 1300 * time.Millisecond
-	g := &Group{lastPings: make(map[vm.ID]time.Time)}
-	watch := func(ctx context.Context) chan time.Duration {
-		ended := make(chan time.Duration, 1)
-		startedAt := time.Now()
-		go func() {
-			g.watchPings(ctx, "ip-0a000001")
-			ended <- time.Since(startedAt)
-		}()
-		return ended
-	}
-	if took := <-watch(t.Context()); took > callerRetryDelay {
-		t.Errorf("without pings the job was withdrawn only after %s", took)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := watch(ctx)
-	for range 10 {
-		time.Sleep(150 * time.Millisecond)
-		if _, err := g.servePing(ctx, "ip-0a000001", struct{}{}); err != nil {
-			t.Fatal(err)
+	const gate = "ip-0a000002"
+	for name, sign := range map[string]func(g *Group, at time.Time){
+		"pings":      func(g *Group, _ time.Time) { _, _ = g.servePing(t.Context(), gate, struct{}{}) },
+		"heartbeats": func(g *Group, at time.Time) { g.signs.record(gate, at) },
+	} {
+		g, _ := newLeadingGroup(t)
+		g.addWorker(t, "w1")
+		now := time.Now()
+		g.signs.record(gate, now)
+		results := make(chan result, 1)
+		g.admit(now, forwardRequest{Ticket{gate, 1, 1}, 0, 0, oneTask("j", time.Second)}, results)
+		pending := func() bool {
+			_, ok := g.groups[0].pool.Lookup("j")
+			return ok
+		}
+		for range 10 {
+			now = now.Add(150 * time.Millisecond)
+			time.Sleep(time.Until(now)) // pings are recorded at the time of day
+			sign(g, now)
+			if g.withdrawLost(now); !pending() {
+				t.Fatalf("%s: withdrawn although they arrived", name)
+			}
+		}
+		if g.withdrawLost(now.Add(callerRetryDelay - 300*time.Millisecond)); pending() {
+			t.Errorf("%s: not withdrawn %s after the last", name, callerRetryDelay-300*time.Millisecond)
+			continue
 		}
-		select {
-		case took := <-ended:
-			t.Fatalf("withdrawn after %s although pings arrived", took)
-		default:
+		if r := <-results; !r.dropped {
+			t.Errorf("%s: the gate's call got %+v, want it dropped", name, r)
 		}
 	}
-	cancel()
-	<-ended
+}
+
+// TestJobOfOwnGateIsKept: a VM sends itself no heartbeats.
+func TestJobOfOwnGateIsKept(t *testing.T) {
+	g, _ := newLeadingGroup(t)
+	g.addWorker(t, "w1")
+	now := time.Now()
+	g.admit(now, forwardRequest{Ticket{g.self.VM, 1, 1}, 0, 0, oneTask("j", time.Second)}, make(chan result, 1))
+	g.withdrawLost(now.Add(5 * time.Second))
+	if _, pending := g.groups[0].pool.Lookup("j"); !pending {
+		t.Error("the job of the VM's own gate was withdrawn")
+	}
 }
 
 // TestOffloadedJobEndsBeforeCallerRetries guards the timing of a lost connection to the
@@ -49,10 +63,10 @@
 // silence of silenceTimeout the other group has withdrawn the job before the gate answers.
 func TestOffloadedJobEndsBeforeCallerRetries(t *testing.T) {
 	const callerRetryDelay, margin = 1300 * time.Millisecond, 200 * time.Millisecond
-	if maxPingGap > callerRetryDelay-margin {
-		t.Errorf("an offloaded job may run for %s after a reset, its caller retries after %s", maxPingGap, callerRetryDelay)
+	if pool.MaxGateSilence > callerRetryDelay-margin {
+		t.Errorf("an offloaded job may run for %s after a reset, its caller retries after %s", pool.MaxGateSilence, callerRetryDelay)
 	}
-	if pingInterval+maxPingGap > silenceTimeout-margin {
-		t.Errorf("an offloaded job may run for %s after the connection fell silent, the gate answers after %s", pingInterval+maxPingGap, silenceTimeout)
+	if pingInterval+pool.MaxGateSilence > silenceTimeout-margin {
+		t.Errorf("an offloaded job may run for %s after the connection fell silent, the gate answers after %s", pingInterval+pool.MaxGateSilence, silenceTimeout)
 	}
 }
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -80,9 +80,6 @@
 
 	signs signsOfLife
 
-	pingMu    sync.Mutex // guards lastPings
-	lastPings map[vm.ID]time.Time
-
 	// startedAt is when the process started; workersCompleteAt is the time of the news of workers that were last
 	// fetched from a VM that knows all of them, nil if never.
 	startedAt         time.Time
@@ -120,7 +117,7 @@
 	self := c.Knowledge.Self()
 	g := &Group{
 		config: c, self: self, startedAt: now, change: make(chan struct{}), ring: ring.New[command](ringSize),
-		groups: []*groupState{newGroupState(lead.New(now, self))}, lastPings: make(map[vm.ID]time.Time), lastAnswers: make(map[vm.ID]time.Time), lastExchanges: make(map[vm.ID]time.Time),
+		groups: []*groupState{newGroupState(lead.New(now, self))}, lastAnswers: make(map[vm.ID]time.Time), lastExchanges: make(map[vm.ID]time.Time),
 	}
 	g.directory.Store(&directory{leaders: make([]Leader, 1)})
 	g.registerHandlers(x)
@@ -222,6 +219,7 @@
 		g.crashes.Expire(now)
 		g.lateStarts.Expire(now)
 	}
+	g.withdrawLost(now)
 	for _, s := range g.groups {
 		if s.pool != nil {
 			s.pool.Tick(now)
--- a/tamarackpin/internal/group/log.go
+++ b/tamarackpin/internal/group/log.go
@@ -71,7 +71,7 @@
 		fields := []zap.Field{
 			zap.String("job", string(o.Task.Job)), zap.Int("step", o.Task.Step), zap.Int("index", o.Task.Index),
 			zap.Int("run", int(o.Run)), zap.String("worker", string(o.Worker)), zap.Int64("fence", int64(o.Fence)), zap.Int("gates", gates),
-			zap.Duration("gate_silence", g.gateSilence(now, s.waiters[a])), zap.Duration("after_takeover", takeover.Since),
+			zap.Duration("gate_silence", now.Sub(g.gateContact(now, s.waiters[a]).HeardAt)), zap.Duration("after_takeover", takeover.Since),
 		}
 		if id == event.StartUnlisted {
 			fields = append(fields, takeoverFields(takeover)...)
--- a/tamarackpin/internal/group/offload.go
+++ b/tamarackpin/internal/group/offload.go
@@ -20,11 +20,9 @@
 // up the jobs at a VM that it does not hear only after that VM has withdrawn them.
 const (
 	pingInterval = 250 * time.Millisecond
-	// maxPingGap is how long the other VM runs an offloaded job without a ping.
-	maxPingGap = 900 * time.Millisecond
 	// silenceTimeout is how long a ping may be without a reply before its VM counts as
-	// silent: maxPingGap, the interval to the last ping that VM received, and the time for
-	// its stops to reach the workers.
+	// silent: the silence after which that VM withdraws the jobs (pool.MaxGateSilence), the interval to the
+	// last ping that it received, and the time for its stops to reach the workers.
 	silenceTimeout = 1500 * time.Millisecond
 )
 
@@ -144,29 +142,5 @@
 // servePing records a ping of a gate that has a job offloaded here.
 func (g *Group) servePing(_ context.Context, from vm.ID, _ struct{}) (struct{}, error) {
 	g.signs.record(from, time.Now())
-	g.pingMu.Lock()
-	defer g.pingMu.Unlock()
-	g.lastPings[from] = time.Now()
 	return struct{}{}, nil
 }
-
-// watchPings returns when the last ping from a gate is older than maxPingGap, or when ctx
-// is done. The time of the call counts as a ping.
-func (g *Group) watchPings(ctx context.Context, from vm.ID) {
-	lastPing := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(maxPingGap - time.Since(lastPing)):
-		}
-		g.pingMu.Lock()
-		if at := g.lastPings[from]; at.After(lastPing) {
-			lastPing = at
-		}
-		g.pingMu.Unlock()
-		if time.Since(lastPing) >= maxPingGap {
-			return
-		}
-	}
-}
--- a/tamarackpin/internal/group/refusals_gate_test.go
+++ b/tamarackpin/internal/group/refusals_gate_test.go
@@ -161,7 +161,7 @@
 	case n == 0 && !t.offloaded:
 		w.stats["lost withdrawals"]++
 	case n == 0: // the dispatcher notices missing pings
-		w.after(maxPingGap, withdraw)
+		w.after(pool.MaxGateSilence, withdraw)
 	case n < 4:
 		w.stats["late withdrawals"]++
 		w.after(w.randomDelay(50, 800), withdraw)
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -74,16 +74,9 @@
 	peer.Handle(x, methodPing, g.servePing)
 	peer.Handle(x, methodCrashes, g.serveCrashes)
 	peer.Handle(x, methodLateStarts, g.serveLateStarts)
-	peer.Handle(x, methodRun, func(ctx context.Context, from vm.ID, req forwardRequest) (forwardReply, error) {
-		g.signs.record(from, time.Now())
+	peer.Handle(x, methodRun, func(ctx context.Context, _ vm.ID, req forwardRequest) (forwardReply, error) {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
-		if req.Request.Offloaded {
-			go func() {
-				defer cancel()
-				g.watchPings(ctx, from)
-			}()
-		}
 		go func() {
 			select {
 			case <-ctx.Done():
@@ -106,6 +99,7 @@
 // runJob submits a job to the pool and waits for its answer. When ctx is done the job is
 // withdrawn and the error has [code.Cancelled].
 func (g *Group) runJob(ctx context.Context, req forwardRequest) (forwardReply, error) {
+	g.signs.record(req.Ticket.Gate, time.Now())
 	done := make(chan result, 1)
 	admitted := make(chan bool, 1)
 	err := g.ring.Put(ctx, func(g *Group, now time.Time) {
