A lapsed lease proves the end of a run only while the gate has stayed

A dispatcher that had been replaced, and did not know yet, took the lapse of its own leases on a worker for the end of a run and started the task again elsewhere. Its successor had adopted that run and extended it.

A task whose run is only known to have lapsed now starts again once a gate of the job is known not to have forwarded it to another dispatcher since. Heartbeats carry a stamp of their process and return the newest one of the receiver, so that one that was delayed on its way proves nothing about the time of its arrival.

TestLapseIsProvenByGate and TestGateIsConfirmedByEchoes fail before.

--- a/internal/pool/gates.go
+++ b/internal/pool/gates.go
@@ -4,7 +4,11 @@
 
 // GateContact is what a dispatcher knows of the gates that wait for an admission.
 type GateContact struct {
-	HeardAt time.Time // when the newest message of any of them arrived
+	// HeardAt is when the newest message of any of them arrived.
+	HeardAt time.Time
+	// ConfirmedAt is the latest time up to which one of them is known not to have forwarded the job to
+	// another dispatcher.
+	ConfirmedAt time.Time
 }
 
 // Bounds for the jobs of gates that are not heard. Such a gate may have forwarded the job to the
@@ -25,11 +29,11 @@
 
 // observeGate updates what is known of the gates of a pending job.
 func (p *Pool) observeGate(now time.Time, j *jobState) {
-	c := GateContact{HeardAt: now}
+	c := GateContact{HeardAt: now, ConfirmedAt: now}
 	if p.config.GateContact != nil {
 		c = p.config.GateContact(now, j.admission)
 	}
-	j.gate.HeardAt = later(j.gate.HeardAt, c.HeardAt)
+	j.gate.HeardAt, j.gate.ConfirmedAt = later(j.gate.HeardAt, c.HeardAt), later(j.gate.ConfirmedAt, c.ConfirmedAt)
 }
 
 // observeGates updates what is known of the gates of all pending jobs.
@@ -45,3 +49,10 @@
 func (p *Pool) gateSilent(now time.Time, j *jobState) bool {
 	return p.config.GateContact != nil && now.Sub(j.gate.HeardAt) > maxLeaseSilence
 }
+
+// lapseProven reports whether the newest run of t, if its leases have lapsed by the reckoning of this
+// Pool, has ended. A later dispatcher to which a gate forwarded the job before may have
+// extended them.
+func (t *task) lapseProven() bool {
+	return t.lapsedAt.IsZero() || !t.job.gate.ConfirmedAt.Before(t.lapsedAt)
+}
--- a/internal/pool/gates_test.go
+++ b/internal/pool/gates_test.go
@@ -42,7 +42,7 @@
 	if at, left := m.leftAt[gateOfJob{pool, id}]; left {
 		now = at
 	}
-	return GateContact{HeardAt: now}
+	return GateContact{HeardAt: now, ConfirmedAt: now}
 }
 
 // withdrawLost withdraws the jobs of lost gates, as package group does.
@@ -84,7 +84,7 @@
 // next one until the caller's deadline (issue 50).
 func TestRunOfSilentGateGetsNoLease(t *testing.T) {
 	var heardAt time.Time
-	h := watchedHarness(t, 1, func(time.Time) GateContact { return GateContact{HeardAt: heardAt} })
+	h := watchedHarness(t, 1, func(time.Time) GateContact { return GateContact{HeardAt: heardAt, ConfirmedAt: heardAt} })
 	heardAt = h.now
 	h.pool.Submit(h.now, patientRequest(10*time.Second))
 	starts := h.ordersOfKind(StartOrder)
@@ -111,3 +111,51 @@
 		t.Errorf("the newest lease was given %s after the gate was heard", silence)
 	}
 }
+
+// TestLapseIsProvenByGate: a dispatcher that was replaced started a task again whose run the next one had
+// adopted, as the leases had lapsed by its own reckoning (issue 50, seed 206 of TestNoTaskRunsTwiceUnderItsPredecessor).
+func TestLapseIsProvenByGate(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		confirmed bool // the gate is known to have stayed
+		starts    int
+	}{{"the gate may have moved on", false, 0}, {"the gate has stayed", true, 1}} {
+		startedAt := time.Time{}
+		h := watchedHarness(t, 2, func(now time.Time) GateContact {
+			if c.confirmed {
+				return GateContact{HeardAt: now, ConfirmedAt: now}
+			}
+			return GateContact{HeardAt: now, ConfirmedAt: startedAt}
+		})
+		startedAt = h.now
+		h.pool.Submit(h.now, patientRequest(10*time.Second))
+		starts := h.ordersOfKind(StartOrder)
+		if len(starts) != 1 {
+			t.Fatalf("%s: starts %+v, want 1", c.name, starts)
+		}
+		h.reply(starts[0], Reply{Done: true})
+		again := 0
+		for h.now.Sub(startedAt) < 3*time.Second {
+			h.advance(5 * time.Millisecond)
+			orders, _ := h.takePending()
+			for _, o := range orders {
+				switch {
+				case o.Worker == starts[0].Worker:
+					h.reply(o, Reply{})
+				case o.Kind == StartOrder:
+					again++
+					h.reply(o, Reply{Done: true})
+				default:
+					r := Reply{Done: true}
+					if again > 0 {
+						r.Running = []RunningTask{{Task: starts[0].Task, Run: starts[0].Run + 1}}
+					}
+					h.reply(o, r)
+				}
+			}
+		}
+		if again != c.starts {
+			t.Errorf("%s: the task was started %d times again, want %d", c.name, again, c.starts)
+		}
+	}
+}
--- a/internal/pool/handover_test.go
+++ b/internal/pool/handover_test.go
@@ -156,7 +156,11 @@
 		}
 		return
 	}
-	at := sim.now.Add(time.Duration(1+h.r.IntN(60)) * stepTime)
+	longest := 60 * stepTime
+	if h.predecessors != nil && h.predecessors.lateGates {
+		longest = h.predecessors.longest
+	}
+	at := sim.now.Add(time.Duration(1+h.r.IntN(int(longest/stepTime))) * stepTime)
 	h.forwards[at] = append(h.forwards[at], id)
 }
 
--- a/internal/pool/offload_schedule_test.go
+++ b/internal/pool/offload_schedule_test.go
@@ -96,7 +96,7 @@
 	if o.gateLost[id] && pool == sim.groups[o.at[id]] {
 		now = o.lastPing[id]
 	}
-	return GateContact{HeardAt: now}
+	return GateContact{HeardAt: now, ConfirmedAt: now}
 }
 
 // loseGate loses the gate of an offloaded job: the other group withdraws it MaxGateSilence after the last
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -225,6 +225,7 @@
 			p.addLateStart(now, t.lateStart())
 		}
 		p.recordLoss(now, w, t, w.lapseEvidence(t.orderedAt))
+		t.lapsedAt = later(w.leasesUntil, t.lapsesAt)
 		p.requeue(t)
 		p.forgetIfDone(t.job)
 		return
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -124,7 +124,7 @@
 // always returns true: when a task gets no worker, a smaller one may still fit.
 func (p *Pool) scheduleJob(now time.Time, candidates []*workerState, j *jobState) bool {
 	for _, t := range j.tasks {
-		if t.phase != waiting || !j.stepReady(t.step) || !p.mayRetry(t) {
+		if t.phase != waiting || !j.stepReady(t.step) || !p.mayRetry(t) || !t.lapseProven() {
 			continue
 		}
 		w := p.selectWorker(now, candidates, t)
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -47,6 +47,7 @@
 	stopSentAt     time.Time // when the newest stop was ordered
 	mayHaveStopped bool      // a stop was sent while nothing showed that its worker had crashed
 	stopAckedAt    time.Time // when the worker acknowledged a stop; zero before
+	lapsedAt       time.Time // when all leases of the newest run had lapsed, if that is all that is known of its end; see lapseProven
 }
 
 // beginRun forgets what is known of the previous run of t.
@@ -54,6 +55,7 @@
 	t.run, t.orderedAt, t.startSentAt = run, orderedAt, orderedAt
 	t.percent, t.progressAt, t.startInherited, t.mayHaveStopped = 0, orderedAt, false, false
 	t.ackedAt, t.lapsesAt, t.stoppingSince, t.stopSentAt, t.stopAckedAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	t.lapsedAt = time.Time{}
 }
 
 // assigned reports whether the task has a worker, on which it may run.
--- a/tamarackpin/internal/group/crashes_test.go
+++ b/tamarackpin/internal/group/crashes_test.go
@@ -73,7 +73,7 @@
 	other.waitForCommands(t, 1)
 	other.runNext(t)
 	other.crashes = crash.Log{} // restarted
-	hb := other.heartbeat()
+	hb := other.heartbeat(leading.self.VM)
 	hb.Self.Incarnation++
 	leading.applyHeartbeat(time.Now(), hb)
 	leading.applyDecisions(t.Context(), time.Now())
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -47,12 +47,16 @@
 	WorkersIncomplete bool           `json:"partial,omitempty"` // the sender may not know all workers
 	// WorkerNewsAge is the age of the sender's newest news of workers, 0 if it had none.
 	WorkerNewsAge wire.Duration `json:"worker_news_age,omitempty"`
+	Made          stamp         `json:"made,omitzero"`
+	// Echo is the stamp of the newest heartbeat of the receiver that arrived before.
+	Echo stamp `json:"echo,omitzero"`
 }
 
-func (g *Group) heartbeat() heartbeat {
+// heartbeat returns a heartbeat for another entry VM.
+func (g *Group) heartbeat(to vm.ID) heartbeat {
 	d := g.directory.Load()
 	now := time.Now()
-	hb := heartbeat{Self: g.config.Knowledge.Self(), Division: d.division, WorkersIncomplete: g.workersIncomplete(now)}
+	hb := heartbeat{Self: g.config.Knowledge.Self(), Division: d.division, WorkersIncomplete: g.workersIncomplete(now), Made: g.stampAt(now), Echo: g.signs.of(to).newest}
 	if at := g.workerNewsAt(); !at.IsZero() {
 		hb.WorkerNewsAge = wire.Duration(now.Sub(at))
 	}
@@ -158,7 +162,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, lateReplyTimeout)
 		defer cancel()
-		reply, err := peer.Call[heartbeat](ctx, g.config.Mesh, id, report.UseHeartbeat, methodExchange, g.heartbeat())
+		reply, err := peer.Call[heartbeat](ctx, g.config.Mesh, id, report.UseHeartbeat, methodExchange, g.heartbeat(id))
 		if err == nil {
 			g.receiveHeartbeat(ctx, reply)
 		}
@@ -178,7 +182,7 @@
 // serveExchange replies only after the fetch that the heartbeat may cause.
 func (g *Group) serveExchange(ctx context.Context, _ vm.ID, hb heartbeat) (heartbeat, error) {
 	g.receiveHeartbeat(ctx, hb)
-	return g.heartbeat(), nil
+	return g.heartbeat(hb.Self.VM), nil
 }
 
 // receiveHeartbeat handles a heartbeat or the reply to one. It fetches the sender's table
@@ -188,6 +192,7 @@
 	now := time.Now()
 	g.recordExchange(now, hb.Self.VM)
 	g.signs.record(hb.Self.VM, now)
+	g.signs.recordStamp(hb.Self.VM, hb.Made)
 	g.config.Knowledge.ObserveVM(now, hb.Self, 0)
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.applyHeartbeat(now, hb) })
 	g.config.Syncer.TableAnnounced(ctx, hb.Self.VM, hb.Version)
@@ -217,4 +222,7 @@
 			s.leadership.RecordClaim(now, hb.Self.VM, hb.Claims[i])
 		}
 	}
+	if hb.Division.Epoch == g.division.Epoch {
+		g.signs.confirm(hb.Self.VM, g.stampedAt(hb.Echo))
+	}
 }
--- a/tamarackpin/internal/group/exchange_test.go
+++ b/tamarackpin/internal/group/exchange_test.go
@@ -52,3 +52,35 @@
 		t.Errorf("the late reply was dropped: VM known %v, %d commands queued", known(), g.ring.Len())
 	}
 }
+
+// TestGateIsConfirmedByEchoes: a heartbeat that was delayed on its way does not show that its sender still
+// follows this VM. It shows that as of the newest heartbeat that the sender had received before.
+func TestGateIsConfirmedByEchoes(t *testing.T) {
+	now := time.Now()
+	leading, _, _ := newTestGroup("ip-0a000001", now.Add(-time.Minute), nil)
+	gate, _, _ := newTestGroup("ip-0a000002", now.Add(-2*time.Minute), nil)
+	deliver := func(from, to *Group) {
+		hb := from.heartbeat(to.self.VM)
+		to.signs.recordStamp(from.self.VM, hb.Made)
+		to.applyHeartbeat(time.Now(), hb)
+	}
+	confirmedAt := func() time.Time { return leading.signs.of(gate.self.VM).confirmedAt }
+	deliver(gate, leading)
+	if at := confirmedAt(); !at.IsZero() {
+		t.Errorf("before any heartbeat of its own the gate is confirmed at %s", at)
+	}
+	sentAt := time.Now()
+	deliver(leading, gate)
+	delayed := gate.heartbeat(leading.self.VM)
+	time.Sleep(50 * time.Millisecond)
+	leading.applyHeartbeat(time.Now(), delayed)
+	if late := confirmedAt().Sub(sentAt); late < -2*time.Millisecond || late > 20*time.Millisecond {
+		t.Errorf("the gate is confirmed %s after the heartbeat that it had received", late)
+	}
+	before := confirmedAt()
+	delayed.Echo.Incarnation++
+	delayed.Echo.Age *= 2
+	if leading.applyHeartbeat(time.Now(), delayed); confirmedAt() != before {
+		t.Error("the echo of another process confirms the gate")
+	}
+}
--- a/tamarackpin/internal/group/late_starts_test.go
+++ b/tamarackpin/internal/group/late_starts_test.go
@@ -35,7 +35,7 @@
 	now := time.Now()
 	task := job.Task{Job: "late"}
 	follower.lateStarts.Merge(now, []latestart.Record{{Task: task, Run: 1, Worker: "w1", Expires: now.Add(13 * time.Second)}})
-	hb := other.heartbeat()
+	hb := other.heartbeat(follower.self.VM)
 	hb.Self.Incarnation++
 	follower.applyHeartbeat(now, hb)
 	follower.applyDecisions(t.Context(), now)
--- a/tamarackpin/internal/group/neighbours_test.go
+++ b/tamarackpin/internal/group/neighbours_test.go
@@ -43,8 +43,8 @@
 	groups[1].config.Syncer.RecordContact(now.Add(-500 * time.Millisecond))
 	for time.Since(now) < 4*maxWorkerNewsAge {
 		time.Sleep(150 * time.Millisecond) // an exchange of heartbeats, as of a leader
-		groups[0].receiveHeartbeat(t.Context(), groups[1].heartbeat())
-		groups[1].receiveHeartbeat(t.Context(), groups[0].heartbeat())
+		groups[0].receiveHeartbeat(t.Context(), groups[1].heartbeat(groups[0].self.VM))
+		groups[1].receiveHeartbeat(t.Context(), groups[0].heartbeat(groups[1].self.VM))
 	}
 	for i, g := range groups {
 		if at := time.Now(); !g.workersIncomplete(at) {
--- a/tamarackpin/internal/group/partial_test.go
+++ b/tamarackpin/internal/group/partial_test.go
@@ -53,13 +53,13 @@
 	if old.workersIncomplete(now) || !fresh.workersIncomplete(now) {
 		t.Fatalf("may lack workers: old VM %v, fresh VM %v", old.workersIncomplete(now), fresh.workersIncomplete(now))
 	}
-	hb := old.heartbeat()
+	hb := old.heartbeat(fresh.self.VM)
 	hb.WorkersIncomplete = true
 	fresh.receiveHeartbeat(ctx, hb)
 	if !fresh.workersIncomplete(now) {
 		t.Error("workers fetched from a VM that may lack some count as complete")
 	}
-	fresh.receiveHeartbeat(ctx, old.heartbeat())
+	fresh.receiveHeartbeat(ctx, old.heartbeat(fresh.self.VM))
 	if workers, _ := freshKnowledge.Workers("a", 0); fresh.workersIncomplete(now) || len(workers) != 1 {
 		t.Errorf("after fetching from the old VM: may lack workers: %v, knows %d", fresh.workersIncomplete(now), len(workers))
 	}
