A job that is forwarded after a division waits for its run in another group

After a division of the workers a job may be running on a worker that belongs to another group now, under a dispatcher that has not heard of the division. Its gate, cut off as well, forwards it late. The new dispatcher asked only whether its own workers had listed their runs, and started it at once.

For 30 s after a division, longer than the partitions that the platform states, a forwarded job waits its 1.3 s in any case.

TestForwardedJobWaitsAfterDivision fails before: the job starts on arrival.

--- a/internal/pool/gates_test.go
+++ b/internal/pool/gates_test.go
@@ -159,3 +159,22 @@
 		}
 	}
 }
+
+// TestForwardedJobWaitsAfterDivision: a gate heard of a division late; the job that it forwarded was still
+// running on a worker of another group, under a dispatcher that had not heard of the division.
+func TestForwardedJobWaitsAfterDivision(t *testing.T) {
+	h := newHarness(t, 1)
+	h.pool.config.DividedAt = h.now
+	h.advance(2 * recoveryDelay)
+	r := patientRequest(10 * time.Second)
+	r.MayBeRunning = true
+	h.pool.Submit(h.now, r)
+	forwardedAt := h.now
+	for len(h.ordersOfKind(StartOrder)) == 0 && h.now.Sub(forwardedAt) < 2*callerRetryDelay {
+		h.announce("w0", 1)
+		h.advance(10 * time.Millisecond)
+	}
+	if after := h.now.Sub(forwardedAt); after != callerRetryDelay {
+		t.Errorf("the job starts %s after its forward, want %s", after, callerRetryDelay)
+	}
+}
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -30,6 +30,16 @@
 	return p.config.WorkersIncomplete || p.anyUnlisted(now)
 }
 
+// mayRunInOtherGroups reports whether a job that a gate forwards may be running on a worker that belongs to another group
+// since the last division, under a dispatcher that has not heard of it.
+func (p *Pool) mayRunInOtherGroups(now time.Time) bool {
+	return now.Sub(p.config.DividedAt) < divisionSpreadTime
+}
+
+// divisionSpreadTime is how long after a division some VM may not know of it: longer than the partitions that the
+// platform states.
+const divisionSpreadTime = 30 * time.Second
+
 // leasesOver reports whether all leases that earlier dispatchers obtained have lapsed, given that
 // these were fenced, or have stepped down for want of contact, within recoveryDelay less a lease.
 func (p *Pool) leasesOver(now time.Time) bool { return now.Sub(p.startedAt) >= recoveryDelay }
