A message of a gate counts as of when it was made

A sign of life of a gate counted as of its arrival. A heartbeat that a stalled dispatcher or a full link held back for 0.4 s let it give leases beyond the return of the gate's callers; a forward that a cut held back for seconds was started although its gate had given the job up; heartbeats of a gate that had restarted with its clock set back counted for the jobs of its earlier process.

Heartbeats, pings and forwards have a stamp with the age of their process. The time at which one was made is estimated by the least delayed message of that process. Signs are kept by process. A forward that was 0.9 s on its way is not admitted. If several gates wait for a job, the one of which least is known counts. Earlier builds refuse calls with unknown fields, so a stamp is sent only to VMs that have sent one, which replies always do. A heartbeat returns the stamp that arrived before its claims were read, not after. Signs are not judged in a tick that is late, when messages wait unread; event 820 is written once for each gate.

--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -35,9 +35,9 @@
 	// trusts its state. After a longer pause its claim may have been replaced: the
 	// gap exceeds the shortest lease.
 	MaxTickGap = 500 * time.Millisecond
-	// maxTickDelay is the longest usual time between two Ticks. What exceeds it is time in
+	// MaxTickDelay is the longest usual time between two Ticks. What exceeds it is time in
 	// which this process did not run and could not read heartbeats either.
-	maxTickDelay = 100 * time.Millisecond
+	MaxTickDelay = 100 * time.Millisecond
 	// refusalBackoff is how long a leader whose fence a worker refused waits for a
 	// heartbeat with the higher claim before it claims again.
 	refusalBackoff = time.Second
@@ -205,7 +205,7 @@
 // may run, and does not take over from a leader that may be alive.
 func (l *Leadership) Tick(now, controlReplyAt time.Time, o OtherGroups) (claim Claim, claimed bool) {
 	paused := now.Sub(l.lastTick) > MaxTickGap
-	l.excuseSilence(now, now.Sub(l.lastTick)-maxTickDelay)
+	l.excuseSilence(now, now.Sub(l.lastTick)-MaxTickDelay)
 	l.lastTick = now
 	if controlReplyAt.After(l.lastContact) {
 		l.recordContact(now, controlReplyAt)
--- a/internal/pool/gates.go
+++ b/internal/pool/gates.go
@@ -2,18 +2,19 @@
 
 import "time"
 
-// GateContact is what a dispatcher knows of the gates that wait for an admission.
+// GateContact is what a dispatcher knows of the gates that wait for an admission, usually one. If there are
+// several, it is that of the gate of which least is known.
 type GateContact struct {
-	// HeardAt is when the newest message of any of them arrived.
+	// HeardAt is when the gate sent the newest message that arrived.
 	HeardAt time.Time
-	// ConfirmedAt is the latest time up to which one of them is known not to have forwarded the job to
+	// ConfirmedAt is the latest time up to which the gate is known not to have forwarded the job to
 	// another dispatcher.
 	ConfirmedAt time.Time
 }
 
 // Bounds for the jobs of gates that are not heard. Such a gate may have forwarded the job to the
 // next dispatcher, or its caller submits the job again through another gate, anywhere,
-// callerRetryDelay after the loss of this one. So no lease of a job outlasts the newest message of its gates by
+// callerRetryDelay after the loss of this one. So no lease of a job outlasts the newest message of its gate by
 // callerRetryDelay.
 const (
 	// callerRetryDelay is how long after a lost connection callers submit a job again, as the platform
@@ -22,8 +23,9 @@
 	// maxLeaseSilence is the longest silence of its gates in which a job is started and leases of
 	// its runs are extended: with a lease, on a clock that may be slow, less than callerRetryDelay.
 	maxLeaseSilence = 550 * time.Millisecond
-	// MaxGateSilence is the silence of a gate after which its jobs are to be withdrawn: less than the
-	// silence in which leases of other runs on the same workers lapse.
+	// MaxGateSilence is the silence of a gate after which its jobs are to be withdrawn. It is less than the
+	// silence in which the leases of other runs on the same workers lapse, unless the gates of several lose
+	// contact one after the other.
 	MaxGateSilence = 900 * time.Millisecond
 )
 
--- a/internal/pool/gates_test.go
+++ b/internal/pool/gates_test.go
@@ -160,6 +160,51 @@
 	}
 }
 
+// TestSilentGateBlocksItsWorker: a start or renewal for another job extends all leases on a worker, also those of a
+// silent gate's job, and of one that was withdrawn and whose stop gets no reply.
+func TestSilentGateBlocksItsWorker(t *testing.T) {
+	var heardAt time.Time
+	h := newHarness(t, 1)
+	h.pool.config.GateContact = func(now time.Time, a Admission) GateContact {
+		if a.Job == "silent" {
+			now = heardAt
+		}
+		return GateContact{HeardAt: now, ConfirmedAt: now}
+	}
+	heardAt = h.now
+	submit := func(id job.ID) Admission {
+		r := patientRequest(10 * time.Second)
+		r.Job.ID, r.GateHeardAt = id, h.now
+		return h.pool.Submit(h.now, r)
+	}
+	a := submit("silent")
+	first := h.ordersOfKind(StartOrder)
+	if len(first) != 1 {
+		t.Fatalf("starts %+v, want 1", first)
+	}
+	h.reply(first[0], Reply{Done: true})
+	for h.now.Sub(heardAt) < 2*time.Second {
+		h.advance(5 * time.Millisecond)
+		switch silence := h.now.Sub(heardAt); silence {
+		case maxLeaseSilence + 10*time.Millisecond:
+			submit("other")
+		case MaxGateSilence:
+			h.pool.Withdraw(h.now, a)
+		}
+		orders, _ := h.takePending()
+		for _, o := range orders {
+			if silence := o.Sent.Sub(heardAt); o.Deadline != 0 && silence > maxLeaseSilence && silence < callerRetryDelay {
+				t.Errorf("%s after the last sign of its gate, a lease on its worker by %+v", silence, o)
+			}
+			if o.Kind == StopOrder {
+				h.reply(o, Reply{})
+				continue
+			}
+			h.reply(o, Reply{Done: true, Running: []RunningTask{{Task: first[0].Task, Run: first[0].Run}}})
+		}
+	}
+}
+
 // TestForwardedJobWaitsAfterDivision: a gate heard of a division late; the job that it forwarded was still
 // running on a worker of another group, under a dispatcher that had not heard of the division.
 func TestForwardedJobWaitsAfterDivision(t *testing.T) {
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -11,9 +11,12 @@
 // its admission is returned, and one answer serves both requests. One that was
 // offloaded is returned to be offloaded to the same group.
 func (p *Pool) Submit(now time.Time, r Request) Admission {
+	if r.GateHeardAt.IsZero() {
+		r.GateHeardAt = now
+	}
 	if j := p.jobs[r.Job.ID]; j != nil && !j.closed {
 		j.callerDeadline = later(j.callerDeadline, now.Add(r.RemainingWait))
-		j.gate.HeardAt = now
+		j.gate.HeardAt = later(j.gate.HeardAt, r.GateHeardAt)
 		if r.MayBeRunning {
 			p.recordForward(now, j)
 		}
@@ -24,7 +27,7 @@
 	}
 	p.lastAdmission++
 	j := &jobState{Request: r, admission: Admission{r.Job.ID, p.lastAdmission}, arrivedAt: now.Add(-r.Age), callerDeadline: now.Add(r.RemainingWait)}
-	j.gate.HeardAt = now
+	j.gate.HeardAt = r.GateHeardAt
 	if r.MayBeRunning {
 		p.recordForward(now, j)
 	}
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -38,6 +38,9 @@
 	// Unguarded reports that the workers of Service start tasks beyond their capacity, so
 	// that the dispatcher has to know it, see Pool.selectWorker.
 	Unguarded bool `json:",omitempty"`
+	// GateHeardAt is when the gate sent the newest message that arrived, as GateContact.HeardAt; zero stands for
+	// the time of Submit.
+	GateHeardAt time.Time `json:"-"`
 }
 
 // Answer is the outcome of an Admission. It answers every Request that returned that
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -92,7 +92,7 @@
 	mayHaveStarted    bool        // a task may have been started, here or by another dispatcher; it is not answered as not run then, see Pool.mayHaveStarted
 	expectedLate      bool        // expected to miss its objective deadline, given the work ahead of it; served after the others
 	closed            bool        // answered or withdrawn; its tasks may still be stopping
-	gate              GateContact // as of the last Tick while it was pending
+	gate              GateContact // as of the last Submit or Tick while it was pending
 	mayRunUntil       time.Time   // until then, a task that another dispatcher started may be running; zero if none was
 }
 
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -54,9 +54,10 @@
 
 // heartbeat returns a heartbeat for another entry VM.
 func (g *Group) heartbeat(to vm.ID) heartbeat {
-	d := g.directory.Load()
 	now := time.Now()
-	hb := heartbeat{Self: g.config.Knowledge.Self(), Division: d.division, WorkersIncomplete: g.workersIncomplete(now), Made: g.stampAt(now), Echo: g.signs.of(to).newest}
+	echo := g.signs.newestOf(to) // before the directory: the claims are to be as new as the echo says
+	d := g.directory.Load()
+	hb := heartbeat{Self: g.config.Knowledge.Self(), Division: d.division, WorkersIncomplete: g.workersIncomplete(now), Made: g.stampFor(to, now), Echo: echo}
 	if at := g.workerNewsAt(); !at.IsZero() {
 		hb.WorkerNewsAge = wire.Duration(now.Sub(at))
 	}
@@ -182,7 +183,9 @@
 // serveExchange replies only after the fetch that the heartbeat may cause.
 func (g *Group) serveExchange(ctx context.Context, _ vm.ID, hb heartbeat) (heartbeat, error) {
 	g.receiveHeartbeat(ctx, hb)
-	return g.heartbeat(hb.Self.VM), nil
+	reply := g.heartbeat(hb.Self.VM)
+	reply.Made = g.stampAt(time.Now())
+	return reply, nil
 }
 
 // receiveHeartbeat handles a heartbeat or the reply to one. It fetches the sender's table
@@ -191,8 +194,7 @@
 func (g *Group) receiveHeartbeat(ctx context.Context, hb heartbeat) {
 	now := time.Now()
 	g.recordExchange(now, hb.Self.VM)
-	g.signs.record(hb.Self.VM, now)
-	g.signs.recordStamp(hb.Self.VM, hb.Made)
+	g.signs.record(now, process{hb.Self.VM, hb.Self.Incarnation}, hb.Made)
 	g.config.Knowledge.ObserveVM(now, hb.Self, 0)
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.applyHeartbeat(now, hb) })
 	g.config.Syncer.TableAnnounced(ctx, hb.Self.VM, hb.Version)
@@ -223,6 +225,10 @@
 		}
 	}
 	if hb.Division.Epoch == g.division.Epoch {
-		g.signs.confirm(hb.Self.VM, g.stampedAt(hb.Echo))
+		after := g.stampedAt(hb.Echo)
+		if hb.Made == (stamp{}) {
+			after = now // of a build that sends no stamps
+		}
+		g.signs.confirm(process{hb.Self.VM, hb.Self.Incarnation}, after)
 	}
 }
--- a/tamarackpin/internal/group/exchange_test.go
+++ b/tamarackpin/internal/group/exchange_test.go
@@ -61,10 +61,11 @@
 	gate, _, _ := newTestGroup("ip-0a000002", now.Add(-2*time.Minute), nil)
 	deliver := func(from, to *Group) {
 		hb := from.heartbeat(to.self.VM)
-		to.signs.recordStamp(from.self.VM, hb.Made)
+		hb.Made = from.stampAt(time.Now()) // as in a reply
+		to.signs.record(time.Now(), process{from.self.VM, from.self.Incarnation}, hb.Made)
 		to.applyHeartbeat(time.Now(), hb)
 	}
-	confirmedAt := func() time.Time { return leading.signs.of(gate.self.VM).confirmedAt }
+	confirmedAt := func() time.Time { return leading.signs.of(process{gate.self.VM, gate.self.Incarnation}).confirmedAt }
 	deliver(gate, leading)
 	if at := confirmedAt(); !at.IsZero() {
 		t.Errorf("before any heartbeat of its own the gate is confirmed at %s", at)
@@ -83,4 +84,10 @@
 	if leading.applyHeartbeat(time.Now(), delayed); confirmedAt() != before {
 		t.Error("the echo of another process confirms the gate")
 	}
+	earlierBuild := gate.heartbeat(leading.self.VM)
+	earlierBuild.Made, earlierBuild.Echo = stamp{}, stamp{}
+	now = time.Now()
+	if leading.applyHeartbeat(now, earlierBuild); confirmedAt() != now {
+		t.Errorf("after a heartbeat without stamps the gate is confirmed at %s, want its arrival", confirmedAt())
+	}
 }
--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -39,7 +39,7 @@
 }
 
 func (g *Group) forward(ctx context.Context, to Leader, number uint64, r pool.Request) ForwardResult {
-	req := forwardRequest{Ticket{g.self.VM, g.self.Incarnation, number}, to.Group, to.Epoch, r}
+	req := forwardRequest{Ticket{g.self.VM, g.self.Incarnation, number}, to.Group, to.Epoch, r, g.stampFor(to.VM, time.Now())}
 	var reply forwardReply
 	var err error
 	if to.VM == g.self.VM {
--- a/tamarackpin/internal/group/forward_test.go
+++ b/tamarackpin/internal/group/forward_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/wire"
 )
 
 // TestJobOfSilentGateIsWithdrawn guards against a job that runs twice: when its gate becomes unreachable, the
@@ -13,16 +14,21 @@
 func TestJobOfSilentGateIsWithdrawn(t *testing.T) {
 	const callerRetryDelay = 1300 * time.Millisecond
 	const gate = "ip-0a000002"
+	gateStartedAt := time.Now().Add(-time.Minute)
 	for name, sign := range map[string]func(g *Group, at time.Time){
-		"pings":      func(g *Group, _ time.Time) { _, _ = g.servePing(t.Context(), gate, struct{}{}) },
-		"heartbeats": func(g *Group, at time.Time) { g.signs.record(gate, at) },
+		"pings": func(g *Group, _ time.Time) {
+			_, _ = g.servePing(t.Context(), gate, ping{stamp{1, wire.Duration(time.Since(gateStartedAt))}})
+		},
+		"heartbeats": func(g *Group, at time.Time) {
+			g.signs.record(at, process{gate, 1}, stamp{1, wire.Duration(at.Sub(gateStartedAt))})
+		},
 	} {
 		g, _ := newLeadingGroup(t)
 		g.addWorker(t, "w1")
 		now := time.Now()
-		g.signs.record(gate, now)
+		sign(g, now)
 		results := make(chan result, 1)
-		g.admit(now, forwardRequest{Ticket{gate, 1, 1}, 0, 0, oneTask("j", time.Second)}, results)
+		g.admit(now, forwardRequest{Ticket{gate, 1, 1}, 0, 0, oneTask("j", time.Second), stamp{}}, results)
 		pending := func() bool {
 			_, ok := g.groups[0].pool.Lookup("j")
 			return ok
@@ -50,7 +56,7 @@
 	g, _ := newLeadingGroup(t)
 	g.addWorker(t, "w1")
 	now := time.Now()
-	g.admit(now, forwardRequest{Ticket{g.self.VM, 1, 1}, 0, 0, oneTask("j", time.Second)}, make(chan result, 1))
+	g.admit(now, forwardRequest{Ticket{g.self.VM, 1, 1}, 0, 0, oneTask("j", time.Second), stamp{}}, make(chan result, 1))
 	g.withdrawLost(now.Add(5 * time.Second))
 	if _, pending := g.groups[0].pool.Lookup("j"); !pending {
 		t.Error("the job of the VM's own gate was withdrawn")
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -206,6 +206,7 @@
 }
 
 func (g *Group) tick(now time.Time) {
+	late := !g.tickedAt.IsZero() && now.Sub(g.tickedAt) > lead.MaxTickDelay
 	g.tickedAt = now
 	if d := g.config.Knowledge.Division(g.self.FailureDomain); d.Epoch > g.division.Epoch {
 		g.applyDivision(now, d) // the one that a control VM has stored
@@ -218,8 +219,11 @@
 		g.redivide(now)
 		g.crashes.Expire(now)
 		g.lateStarts.Expire(now)
+		g.signs.expire(now)
+	}
+	if !late { // after a delay of this process, messages of the gates may wait unread
+		g.withdrawLost(now)
 	}
-	g.withdrawLost(now)
 	for _, s := range g.groups {
 		if s.pool != nil {
 			s.pool.Tick(now)
--- a/tamarackpin/internal/group/offload.go
+++ b/tamarackpin/internal/group/offload.go
@@ -109,12 +109,16 @@
 	defer cancel()
 	var mu sync.Mutex // guards c
 	var c contact
-	ping := func(sentAt time.Time) {
+	sendPing := func(sentAt time.Time) {
 		ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
 		defer cancel()
-		if _, err := peer.Call[struct{}](ctx, g.config.Mesh, id, report.UseForward, methodPing, struct{}{}); err != nil {
+		reply, err := peer.Call[ping](ctx, g.config.Mesh, id, report.UseForward, methodPing, ping{g.stampFor(id, time.Now())})
+		if err != nil {
 			return // the missing reply counts
 		}
+		if reply.Made != (stamp{}) {
+			g.signs.record(time.Now(), process{id, reply.Made.Incarnation}, reply.Made)
+		}
 		mu.Lock()
 		defer mu.Unlock()
 		c.replied(sentAt)
@@ -130,7 +134,7 @@
 			g.offloads.markSilent(id, p)
 			return
 		}
-		go ping(now)
+		go sendPing(now)
 		select {
 		case <-ctx.Done():
 			return
@@ -140,7 +144,7 @@
 }
 
 // servePing records a ping of a gate that has a job offloaded here.
-func (g *Group) servePing(_ context.Context, from vm.ID, _ struct{}) (struct{}, error) {
-	g.signs.record(from, time.Now())
-	return struct{}{}, nil
+func (g *Group) servePing(_ context.Context, from vm.ID, p ping) (ping, error) {
+	g.signs.record(time.Now(), process{from, p.Made.Incarnation}, p.Made)
+	return ping{g.stampAt(time.Now())}, nil
 }
--- a/tamarackpin/internal/group/signs.go
+++ b/tamarackpin/internal/group/signs.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -12,34 +13,57 @@
 	"tamarackpin.example/internal/wire"
 )
 
-// signsOfLife holds what the messages of other VMs show of them. The zero value has none. It is safe for
+// signsOfLife holds what the messages of other processes show of them. The zero value has none. It is safe for
 // concurrent use.
 type signsOfLife struct {
-	mu  sync.Mutex // guards vms
-	vms map[vm.ID]signOfLife
+	mu        sync.Mutex // guards the fields below
+	processes map[process]signOfLife
+	newest    map[vm.ID]stamp // of the newest message of each VM
 }
 
-// signOfLife is what the messages of one VM show.
+// process is one process of a VM.
+type process struct {
+	vm          vm.ID
+	incarnation vm.Incarnation
+}
+
+// signOfLife is what the messages of one process show.
 type signOfLife struct {
-	heardAt time.Time // arrival of the newest message
-	// confirmedAt is a time after which that VM made the newest heartbeat whose claims this VM knows; zero
-	// before the first.
+	heardAt time.Time // when it sent the newest message that arrived
+	// confirmedAt is a time after which it made a heartbeat whose claims this VM knows; zero before the first.
 	confirmedAt time.Time
-	newest      stamp // of the newest heartbeat
+	startedAt   time.Time // estimate of its start, on the clock of this process: later than that by the least delay of a message
+	arrivedAt   time.Time // of the newest message
 }
 
-// stamp tells when a process made a heartbeat, on its own clock.
+// stamp tells when a process made a message, on its own clock.
 type stamp struct {
 	Incarnation vm.Incarnation `json:"incarnation"`
 	Age         wire.Duration  `json:"age"` // of the process
 }
 
-// stampAt returns the stamp of a heartbeat that is made now.
+const (
+	// maxClockDrift bounds the difference in rate of the steady clocks of two VMs.
+	maxClockDrift = 0.01
+	// signLifetime is how long the signs of a process that is not heard any more are kept.
+	signLifetime = time.Minute
+)
+
+// stampAt returns the stamp of a message that is made now.
 func (g *Group) stampAt(now time.Time) stamp {
 	return stamp{g.self.Incarnation, wire.Duration(now.Sub(g.startedAt).Truncate(time.Millisecond))}
 }
 
-// stampedAt returns when this process made a stamp, or the zero time if an earlier process did.
+// stampFor returns the stamp of a call that is made now. It is zero, and left out, until the VM has sent one: earlier
+// builds refuse calls with fields that they don't know. Replies always have one.
+func (g *Group) stampFor(to vm.ID, now time.Time) stamp {
+	if g.signs.newestOf(to) == (stamp{}) {
+		return stamp{}
+	}
+	return g.stampAt(now)
+}
+
+// stampedAt returns when this process made a stamp, or the zero time if another one did.
 func (g *Group) stampedAt(s stamp) time.Time {
 	if s.Incarnation != g.self.Incarnation {
 		return time.Time{}
@@ -47,74 +71,111 @@
 	return g.startedAt.Add(s.Age.Std())
 }
 
-func (s *signsOfLife) update(id vm.ID, f func(*signOfLife)) {
+func (s *signsOfLife) update(p process, f func(*signOfLife)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.vms == nil {
-		s.vms = make(map[vm.ID]signOfLife)
+	if s.processes == nil {
+		s.processes, s.newest = make(map[process]signOfLife), make(map[vm.ID]stamp)
 	}
-	v := s.vms[id]
+	v := s.processes[p]
 	f(&v)
-	s.vms[id] = v
+	s.processes[p] = v
 }
 
-// record records the arrival of a message.
-func (s *signsOfLife) record(id vm.ID, at time.Time) {
-	s.update(id, func(v *signOfLife) { v.heardAt = later(v.heardAt, at) })
-}
-
-// recordStamp records the stamp of a heartbeat, to be returned with the next one to its sender.
-func (s *signsOfLife) recordStamp(id vm.ID, made stamp) {
-	s.update(id, func(v *signOfLife) {
-		if made.Incarnation > v.newest.Incarnation || made.Incarnation == v.newest.Incarnation && made.Age > v.newest.Age {
-			v.newest = made
+// record records a message that arrives now. It counts as of when it was made, which is estimated by the
+// least delayed message of that process, and returned. One without a stamp, of an earlier build, counts as of its arrival.
+func (s *signsOfLife) record(now time.Time, p process, made stamp) (sentAt time.Time) {
+	sentAt = now
+	s.update(p, func(v *signOfLife) {
+		if made != (stamp{}) {
+			startedAt := now.Add(-made.Age.Std())
+			if v.startedAt.IsZero() {
+				v.startedAt = startedAt
+			}
+			v.startedAt = v.startedAt.Add(time.Duration(maxClockDrift * float64(now.Sub(v.arrivedAt))))
+			if startedAt.Before(v.startedAt) {
+				v.startedAt = startedAt
+			}
+			sentAt = v.startedAt.Add(made.Age.Std())
+			if newest := s.newest[p.vm]; newest.Incarnation != made.Incarnation || newest.Age < made.Age {
+				s.newest[p.vm] = made
+			}
 		}
+		v.heardAt, v.arrivedAt = later(v.heardAt, sentAt), now
 	})
+	return sentAt
 }
 
 // confirm records that a heartbeat whose claims are known was made after the given time.
-func (s *signsOfLife) confirm(id vm.ID, after time.Time) {
-	s.update(id, func(v *signOfLife) { v.confirmedAt = later(v.confirmedAt, after) })
+func (s *signsOfLife) confirm(p process, after time.Time) {
+	s.update(p, func(v *signOfLife) { v.confirmedAt = later(v.confirmedAt, after) })
+}
+
+// of returns what the messages of a process show.
+func (s *signsOfLife) of(p process) signOfLife {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.processes[p]
+}
+
+// newestOf returns the stamp of the newest message of a VM.
+func (s *signsOfLife) newestOf(id vm.ID) stamp {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest[id]
 }
 
-// of returns what the messages of a VM show.
-func (s *signsOfLife) of(id vm.ID) signOfLife {
+// expire drops the processes without a message for signLifetime.
+func (s *signsOfLife) expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.vms[id]
+	maps.DeleteFunc(s.processes, func(_ process, v signOfLife) bool { return now.Sub(v.arrivedAt) > signLifetime })
 }
 
-// gateContact returns what is known of the gates that wait for an admission. A gate of another failure
-// domain, which sends no heartbeats, offloads a job to one group only.
+// contactOf returns what is known of the process that made a ticket. A gate of another failure domain sends
+// no heartbeats; it offloads a job to one group only.
+func (g *Group) contactOf(now time.Time, t Ticket) pool.GateContact {
+	if t.Gate == g.self.VM {
+		return pool.GateContact{HeardAt: now, ConfirmedAt: now}
+	}
+	sign := g.signs.of(t.process())
+	sign.heardAt = later(sign.heardAt, g.signs.of(process{vm: t.Gate}).heardAt) // by pings without a stamp
+	if sign.confirmedAt.IsZero() {
+		sign.confirmedAt = sign.heardAt
+	}
+	return pool.GateContact{HeardAt: sign.heardAt, ConfirmedAt: sign.confirmedAt}
+}
+
+// gateContact returns what is known of the gates that wait for an admission: of the one that is known least of.
 func (g *Group) gateContact(now time.Time, waiters []waiter) pool.GateContact {
 	var c pool.GateContact
-	for _, w := range waiters {
-		if w.ticket.Gate == g.self.VM {
-			return pool.GateContact{HeardAt: now, ConfirmedAt: now}
+	for i, w := range waiters {
+		one := g.contactOf(now, w.ticket)
+		if i == 0 || one.HeardAt.Before(c.HeardAt) {
+			c.HeardAt = one.HeardAt
 		}
-		sign := g.signs.of(w.ticket.Gate)
-		c.HeardAt = later(c.HeardAt, sign.heardAt)
-		if sign.confirmedAt.IsZero() {
-			sign.confirmedAt = sign.heardAt
+		if i == 0 || one.ConfirmedAt.Before(c.ConfirmedAt) {
+			c.ConfirmedAt = one.ConfirmedAt
 		}
-		c.ConfirmedAt = later(c.ConfirmedAt, sign.confirmedAt)
 	}
 	return c
 }
 
 // withdrawLost withdraws the jobs of the gates that have been silent for too long.
 func (g *Group) withdrawLost(now time.Time) {
+	lost := make(map[process]int)
 	for _, s := range g.groups {
 		for t := range s.admissions {
-			if t.Gate == g.self.VM {
-				continue
-			}
-			if silence := now.Sub(g.signs.of(t.Gate).heardAt); silence >= pool.MaxGateSilence {
-				event.Log(g.config.Log, event.GateLost, zap.String("job", string(s.admissions[t].Job)), zap.String("gate", string(t.Gate)), zap.Duration("silence", silence))
+			if now.Sub(g.contactOf(now, t).HeardAt) >= pool.MaxGateSilence {
+				lost[t.process()]++
 				s.withdraw(now, withdrawal{Ticket: t})
 			}
 		}
 	}
+	for p, jobs := range lost {
+		event.Log(g.config.Log, event.GateLost, zap.String("gate", string(p.vm)), zap.Int64("incarnation", int64(p.incarnation)), zap.Int("jobs", jobs),
+			zap.Duration("silence", now.Sub(g.signs.of(p).heardAt)))
+	}
 }
 
 func later(a, b time.Time) time.Time {
--- /dev/null
+++ b/tamarackpin/internal/group/signs_test.go
@@ -0,0 +1,196 @@
+package group
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/wire"
+	"tamarackpin.example/internal/worker"
+)
+
+// TestDelayedMessageCountsAsOfItsSending: a heartbeat that waited to be read let a dispatcher extend the leases of a
+// gate that had been lost meanwhile.
+func TestDelayedMessageCountsAsOfItsSending(t *testing.T) {
+	gateStartedAt := time.Now()
+	var s signsOfLife
+	p := process{"ip-0a000002", 7}
+	arrive := func(sentAfter, delay time.Duration) time.Duration {
+		s.record(gateStartedAt.Add(sentAfter+delay), p, stamp{7, wire.Duration(sentAfter)})
+		return s.of(p).heardAt.Sub(gateStartedAt)
+	}
+	for i := range 10 {
+		sentAfter := time.Duration(i) * 150 * time.Millisecond
+		if at := arrive(sentAfter, 5*time.Millisecond); at < sentAfter || at > sentAfter+10*time.Millisecond {
+			t.Errorf("sent after %s, counts as of %s", sentAfter, at)
+		}
+	}
+	const sentAfter = 1500 * time.Millisecond
+	if at := arrive(sentAfter, 400*time.Millisecond); at < sentAfter || at > sentAfter+20*time.Millisecond {
+		t.Errorf("sent after %s and delayed by 0.4 s, counts as of %s", sentAfter, at)
+	}
+	s.expire(gateStartedAt.Add(2 * signLifetime))
+	if len(s.processes) > 0 {
+		t.Errorf("%d processes are kept", len(s.processes))
+	}
+}
+
+// TestJobOfRestartedGateIsNotVouchedFor: the heartbeats of a gate that restarted with its clock set back counted for the jobs of
+// its earlier process.
+func TestJobOfRestartedGateIsNotVouchedFor(t *testing.T) {
+	g, _, _ := newTestGroup("ip-0a000001", time.Now(), nil)
+	now := time.Now()
+	g.signs.record(now.Add(-2*time.Second), process{"ip-0a000002", 7}, stamp{})
+	g.signs.record(now, process{"ip-0a000002", 5}, stamp{})
+	if c := g.contactOf(now, Ticket{"ip-0a000002", 7, 1}); now.Sub(c.HeardAt) < 2*time.Second || now.Sub(c.ConfirmedAt) < 2*time.Second {
+		t.Errorf("the gate's earlier process: %+v at %s", c, now)
+	}
+}
+
+// TestForwardDelayedByCutIsNotAdmitted: a forward that a cut held back arrived after its gate had given the job up, and was
+// started beside the next try of the caller.
+func TestForwardDelayedByCutIsNotAdmitted(t *testing.T) {
+	g, _ := newLeadingGroup(t)
+	g.addWorker(t, "w1")
+	gate, _, _ := newTestGroup("ip-0a000002", time.Now().Add(-time.Minute), nil)
+	ticket, made := Ticket{gate.self.VM, gate.self.Incarnation, 1}, gate.stampAt(time.Now())
+	g.signs.record(time.Now(), ticket.process(), made)
+	made.Age -= wire.Duration(pool.MaxGateSilence)
+	replies := make(chan forwardReply, 1)
+	go func() {
+		if o, err := g.runJob(t.Context(), forwardRequest{ticket, 0, 0, oneTask("j", time.Second), made}); err == nil {
+			replies <- o
+		}
+	}()
+	select {
+	case o := <-replies:
+		if o.Admitted || o.Answered {
+			t.Errorf("the gate's call got %+v, want that the job was not admitted", o)
+		}
+	case <-time.After(time.Second):
+		t.Error("the job was admitted")
+	}
+}
+
+// TestLeasesEndWithHeartbeatsOfGate runs the whole path: the leases of a job are extended as long as heartbeats of its
+// gate arrive, and the job is withdrawn when they don't; that of the VM's own gate goes on.
+func TestLeasesEndWithHeartbeatsOfGate(t *testing.T) {
+	g, _ := newLeadingGroup(t)
+	lease := make(map[worker.ID]time.Time) // when the newest one was asked for
+	running := make(map[worker.ID]pool.RunningTask)
+	startedAt := time.Now()
+	type call struct {
+		order pool.Order
+		reply chan pool.Reply
+	}
+	calls := make(chan call)
+	g.config.Call = func(ctx context.Context, o pool.Order) pool.Reply {
+		time.Sleep(min(o.Wait, 50*time.Millisecond))
+		c := call{o, make(chan pool.Reply, 1)}
+		select {
+		case calls <- c:
+			return <-c.reply
+		case <-ctx.Done():
+			return pool.Reply{}
+		}
+	}
+	execute := func(c call) {
+		o := c.order
+		if o.Deadline != 0 {
+			lease[o.Worker] = time.Now()
+		}
+		r := pool.Reply{Done: true, RepliedBy: 1, Clock: worker.Clock(time.Minute + time.Since(startedAt)), HasClock: true}
+		switch o.Kind {
+		case pool.StartOrder:
+			running[o.Worker] = pool.RunningTask{Task: o.Task, Run: o.Run}
+		case pool.StopOrder:
+			delete(running, o.Worker)
+		}
+		if run, ok := running[o.Worker]; ok {
+			run.Percent = int(time.Since(startedAt) / (50 * time.Millisecond)) // of a run of 5 s
+			r.Running = []pool.RunningTask{run}
+		}
+		c.reply <- r
+	}
+	for at := startedAt.Add(-time.Minute); at.Before(startedAt); at = at.Add(200 * time.Millisecond) {
+		g.tickLeaderships(at)
+	}
+	step := func() {
+		for begun := time.Now(); time.Since(begun) < 20*time.Millisecond; {
+			select {
+			case c := <-calls:
+				execute(c)
+				continue
+			case c := <-g.ring.Out():
+				g.runCommand(c)
+				continue
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+		g.tick(time.Now())
+		g.applyDecisions(t.Context(), time.Now())
+	}
+	for _, id := range []worker.ID{"w1", "w2"} {
+		g.config.Knowledge.ObserveWorker(startedAt, worker.Announcement{
+			Worker: id, Incarnation: 1, Sequence: 1, Service: "s", Address: string(id), FailureDomain: "a", Capacity: worker.Resources{MilliCores: 1000}, Clock: worker.Clock(time.Minute),
+		}, 0, nil)
+	}
+	gate, _, _ := newTestGroup("ip-0a000002", startedAt.Add(-time.Minute), nil)
+	results := make(map[job.ID]chan forwardReply)
+	forward := func(id job.ID, from *Group, made stamp) {
+		results[id] = make(chan forwardReply, 1)
+		r := oneTask(id, 5*time.Second)
+		r.Stretch = 10
+		go func() {
+			if o, err := g.runJob(t.Context(), forwardRequest{Ticket{from.self.VM, from.self.Incarnation, 1}, 0, 0, r, made}); err == nil {
+				results[id] <- o
+			}
+		}()
+	}
+	forward("own", g, stamp{})
+	forward("remote", gate, gate.stampAt(time.Now()))
+	var lastHeartbeat time.Time
+	for time.Since(startedAt) < 1500*time.Millisecond {
+		if time.Since(lastHeartbeat) > 100*time.Millisecond {
+			lastHeartbeat = time.Now()
+			g.receiveHeartbeat(t.Context(), gate.heartbeat(g.self.VM))
+		}
+		step()
+	}
+	if len(running) != 2 || len(results["remote"]) > 0 {
+		t.Fatalf("while heartbeats arrive: runs %v, job of the gate dropped: %v", running, len(results["remote"]) > 0)
+	}
+	var ownWorker, remoteWorker worker.ID
+	for id, run := range running {
+		if run.Task.Job == "own" {
+			ownWorker = id
+		} else {
+			remoteWorker = id
+		}
+	}
+	for time.Since(lastHeartbeat) < 970*time.Millisecond { // before it steps down for want of contact
+		step()
+	}
+	if silence := lease[remoteWorker].Sub(lastHeartbeat); silence > 600*time.Millisecond {
+		t.Errorf("the newest lease of the job was asked for %s after the last heartbeat", silence)
+	}
+	if own := time.Since(lease[ownWorker]); own > 500*time.Millisecond {
+		t.Errorf("the newest lease of the job of the own gate was asked for %s ago", own)
+	}
+	select {
+	case r := <-results["remote"]:
+		if r.Answered || !r.Admitted {
+			t.Errorf("the gate's call got %+v", r)
+		}
+	default:
+		t.Errorf("the job was not withdrawn within %s", time.Since(lastHeartbeat))
+	}
+	if len(results["own"]) > 0 {
+		t.Error("the job of the own gate ended")
+	}
+	if c := g.contactOf(time.Now(), Ticket{g.self.VM, g.self.Incarnation, 1}); time.Since(c.HeardAt) > time.Second {
+		t.Errorf("the own gate: %+v", c)
+	}
+}
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -31,6 +31,8 @@
 	Number      uint64         `json:"number"`
 }
 
+func (t Ticket) process() process { return process{t.Gate, t.Incarnation} }
+
 // waiter is a call of a gate that waits for a job's answer.
 type waiter struct {
 	ticket Ticket
@@ -49,6 +51,12 @@
 	Group   lead.Group   `json:"group"`
 	Epoch   lead.Fence   `json:"epoch"` // of the division of Group; drawn from the same sequence as fences
 	Request pool.Request `json:"request"`
+	Made    stamp        `json:"made,omitzero"`
+}
+
+// ping is a sign of life of a gate that has offloaded jobs, and the reply to one.
+type ping struct {
+	Made stamp `json:"made,omitzero"`
 }
 
 // withdrawal cancels the call of a gate.
@@ -99,7 +107,10 @@
 // runJob submits a job to the pool and waits for its answer. When ctx is done the job is
 // withdrawn and the error has [code.Cancelled].
 func (g *Group) runJob(ctx context.Context, req forwardRequest) (forwardReply, error) {
-	g.signs.record(req.Ticket.Gate, time.Now())
+	now := time.Now()
+	if sentAt := g.signs.record(now, req.Ticket.process(), req.Made); now.Sub(sentAt) >= pool.MaxGateSilence {
+		return forwardReply{}, nil // the gate may have given it up; if not, it forwards it again
+	}
 	done := make(chan result, 1)
 	admitted := make(chan bool, 1)
 	err := g.ring.Put(ctx, func(g *Group, now time.Time) {
@@ -168,6 +179,10 @@
 		return false
 	}
 	g.logReforwarded(s, req)
+	if g.contactOf(now, req.Ticket).HeardAt.IsZero() {
+		g.signs.record(now, req.Ticket.process(), stamp{})
+	}
+	req.Request.GateHeardAt = g.contactOf(now, req.Ticket).HeardAt
 	s.submit(now, req.Request, waiter{req.Ticket, done})
 	return true
 }
