A forwarded job may be at a later dispatcher before its earlier runs are over

Of three dispatchers, the second got a job by a forward while the first started it on a worker that only the first reached. The gate forwarded the job on to the third, which listed the run, adopted it and extended its leases. The second, which did not know yet that it was replaced, started the job 1.3 s after its own forward, when the leases that the first can have given are over.

That this time is over now counts only if a gate is known to have stayed until then, as for leases that have lapsed.

TestForwardedJobMayBeAtLaterDispatcher fails before: the job starts after 1.3 s where the gate may have moved on.

--- a/internal/pool/gates_test.go
+++ b/internal/pool/gates_test.go
@@ -223,3 +223,40 @@
 		t.Errorf("the job starts %s after its forward, want %s", after, callerRetryDelay)
 	}
 }
+
+// TestForwardedJobMayBeAtLaterDispatcher: a dispatcher that was replaced itself started a job beside a run of its predecessor,
+// as the leases that this one had given were over. The next dispatcher had adopted the run and extended
+// them (issue 50).
+func TestForwardedJobMayBeAtLaterDispatcher(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		stays time.Duration // that the gate is known to have stayed after it forwarded the job
+		start time.Duration // after the forward; 0 stands for none
+	}{
+		{"the gate may have moved on at once", 0, 0},
+		{"the gate may have moved on before the leases were over", callerRetryDelay - 5*time.Millisecond, 0},
+		{"the gate has stayed until the leases were over", callerRetryDelay, callerRetryDelay},
+	} {
+		h, _ := takeOver(t)
+		h.advance(2 * recoveryDelay)
+		forwardedAt := h.now
+		h.pool.config.GateContact = func(now time.Time, _ Admission) GateContact {
+			confirmedAt := forwardedAt.Add(min(c.stays, now.Sub(forwardedAt)))
+			return GateContact{HeardAt: now, ConfirmedAt: confirmedAt}
+		}
+		r := patientRequest(10 * time.Second)
+		r.MayBeRunning = true
+		h.pool.Submit(h.now, r)
+		var startedAfter time.Duration
+		for h.now.Sub(forwardedAt) < 3*time.Second && startedAfter == 0 {
+			h.announce("w0", 1)
+			h.advance(5 * time.Millisecond)
+			if starts := h.ordersOfKind(StartOrder); len(starts) > 0 {
+				startedAfter = h.now.Sub(forwardedAt)
+			}
+		}
+		if startedAfter != c.start {
+			t.Errorf("%s: the job starts after %s, want %s (0s: not)", c.name, startedAfter, c.start)
+		}
+	}
+}
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -69,7 +69,7 @@
 	var list []readyJob
 	unknownRuns := p.lacksRunLists(now) || p.mayRunInOtherGroups(now)
 	for _, j := range p.jobs {
-		if !j.closed && j.hasWaitingTasks() && !p.gateSilent(now, j) && (!unknownRuns || !now.Before(j.mayRunUntil)) {
+		if !j.closed && j.hasWaitingTasks() && !p.gateSilent(now, j) && (!unknownRuns || j.earlierRunsOver(now)) {
 			list = append(list, readyJob{j, j.queueClass(now)})
 		}
 	}
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -57,6 +57,12 @@
 	j.mayRunUntil = later(now.Add(callerRetryDelay), p.startedAt.Add(recoveryDelay))
 }
 
+// earlierRunsOver reports whether no run of j that an earlier dispatcher ordered goes on, whether or not a worker has
+// listed it. A later dispatcher to which a gate forwarded j before mayRunUntil may have extended it.
+func (j *jobState) earlierRunsOver(now time.Time) bool {
+	return !now.Before(j.mayRunUntil) && !j.gate.ConfirmedAt.Before(j.mayRunUntil)
+}
+
 // unlisted reports whether w may run what it has not listed since the takeover.
 func (p *Pool) unlisted(now time.Time, w *workerState) bool {
 	return !w.listed && !w.stale && !p.hasEnded(now, w)
