Show that an unnoticed restart lets two dispatchers start a task

A worker is taken for one that refuses the earlier dispatcher, as it has listed its runs under the new fence. It is idle, so nothing notices that it restarts under its id; its next process has seen no fence and carries out what the earlier dispatcher orders.

--- a/internal/pool/predecessor_test.go
+++ b/internal/pool/predecessor_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"tamarackpin.example/internal/lead"
 )
 
 // predecessors makes the dispatchers that are replaced go on for some time, with workers that their
@@ -66,3 +68,69 @@
 		return sim.run(handoverSteps)
 	})
 }
+
+// TestNoTaskRunsTwiceOnUnnoticedRestart: an idle worker restarts after it has listed its runs to the next dispatcher. Its next
+// process has seen no fence, and carries out a start that the earlier dispatcher orders about when its gate
+// forwards the job.
+func TestNoTaskRunsTwiceOnUnnoticedRestart(t *testing.T) {
+	for _, startedAfter := range []time.Duration{-stepTime, 10 * stepTime} { // the forward
+		sim := &simulation{r: rand.New(rand.NewPCG(1, 1)), now: time.Unix(1000, 0), stats: make(map[string]int), slowdown: 10}
+		reachable, other := &simWorker{id: "w1", rate: 1}, &simWorker{id: "w0", rate: 1} // the next dispatcher prefers the lower id
+		sim.workers = []*simWorker{reachable, other}
+		var forwardedAt time.Time
+		takeOver := func(f lead.Fence, workers ...*simWorker) *Pool {
+			p := New(sim.now, Config{Fence: f, LeaseMax: time.Second, StopMax: 50 * time.Millisecond, GateContact: func(now time.Time, _ Admission) GateContact {
+				if f == 1 && !forwardedAt.IsZero() {
+					now = forwardedAt
+				}
+				return GateContact{HeardAt: now, ConfirmedAt: now}
+			}})
+			for _, s := range workers {
+				p.UpdateWorker(sim.now, sim.record(s))
+			}
+			return p
+		}
+		for _, s := range sim.workers {
+			s.start(sim.now)
+		}
+		earlier := takeOver(1, reachable)
+		sim.carryOut(earlier)
+		next := takeOver(2, reachable, other)
+		sim.carryOut(next)
+		reachable.start(sim.now)
+		r := patientRequest(time.Second)
+		earlier.workers[reachable.id].backoffUntil = sim.now.Add(20*stepTime + startedAfter)
+		earlier.Submit(sim.now, r)
+		for step := range 400 {
+			sim.now = sim.now.Add(stepTime)
+			if step+1 == 20 {
+				forwardedAt, r.MayBeRunning = sim.now, true
+				next.Submit(sim.now, r)
+			}
+			for _, p := range []*Pool{earlier, next} {
+				p.Tick(sim.now)
+				sim.carryOut(p)
+			}
+			for _, s := range sim.workers {
+				sim.advanceRuns(s)
+			}
+			if err := sim.checkNoConcurrentRuns(); err != nil {
+				t.Errorf("start %s after the forward: %v", startedAfter, err)
+				break
+			}
+		}
+		if sim.stats["starts"] == 0 {
+			t.Errorf("start %s after the forward: the job never starts", startedAfter)
+		}
+	}
+}
+
+// carryOut has the workers carry out the pending orders of a dispatcher.
+func (sim *simulation) carryOut(p *Pool) {
+	orders, _ := p.TakePending()
+	for _, o := range orders {
+		r := sim.execute(sim.findWorker(o.Worker), o)
+		r.ReceivedAt = sim.now
+		p.Receive(sim.now, r)
+	}
+}
