Random schedules that combine lasting predecessors with what others draw

Dispatchers that go on after they were replaced were drawn only alone, with lost gates or with late gates. Now also with workers that are unknown for some time, workers that leave, clocks that are set back, handovers every 0.3 to 0.6 s, so that a third dispatcher takes over while the first goes on for up to 3 s, and lost and late gates together.

--- a/internal/pool/departures_test.go
+++ b/internal/pool/departures_test.go
@@ -86,11 +86,16 @@
 func runDepartureSchedule(seed uint64) (map[string]int, error) {
 	sim := newHandoverSimulation(seed)
 	sim.handovers.lostGates = rand.New(rand.NewPCG(seed, 7))
+	sim.addDepartures(seed)
+	return sim.run(handoverSteps)
+}
+
+// addDepartures has workers leave, with runs that take longer than in other schedules.
+func (sim *simulation) addDepartures(seed uint64) {
 	sim.departures = &departures{
 		r: rand.New(rand.NewPCG(seed, 9)), deregistered: make(map[worker.ID]time.Time), endsAt: make(map[worker.ID]time.Time),
 	}
 	sim.slowdown = 3
-	return sim.run(handoverSteps)
 }
 
 // TestNoTaskRunsTwiceWhileWorkersLeave: workers have deregistered, and go on for some seconds with what runs
--- a/internal/pool/handover_test.go
+++ b/internal/pool/handover_test.go
@@ -82,6 +82,7 @@
 type handovers struct {
 	r           *rand.Rand
 	next        time.Time
+	gapRange    time.Duration // longest time between two handovers, beyond leastHandoverGap; 0 stands for handoverGapRange
 	lossUntil   time.Time
 	lossPercent int
 	forwards    map[time.Time][]job.ID // by the gates, to the newest dispatcher of the job's group
@@ -121,7 +122,7 @@
 	if sim.now.Before(h.next) {
 		return
 	}
-	h.next = sim.now.Add(leastHandoverGap + time.Duration(h.r.Int64N(int64(handoverGapRange))))
+	h.next = sim.now.Add(leastHandoverGap + time.Duration(h.r.Int64N(int64(cmp.Or(h.gapRange, handoverGapRange)))))
 	h.lossUntil, h.lossPercent = sim.now.Add(time.Duration(h.r.IntN(1500))*time.Millisecond), h.r.IntN(80)
 	g := h.r.IntN(len(sim.groups))
 	if sim.groups[g] < 0 {
@@ -205,6 +206,12 @@
 
 func runClockSchedule(seed uint64) (map[string]int, error) {
 	sim := newHandoverSimulation(seed)
+	sim.setClocksBack(seed)
+	return sim.run(handoverSteps)
+}
+
+// setClocksBack has workers restart with lower and higher incarnations, as their clocks are set back and forth.
+func (sim *simulation) setClocksBack(seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 6))
 	for _, s := range sim.workers {
 		used := map[worker.Incarnation]bool{s.incarnation: true}
@@ -220,7 +227,6 @@
 			return next
 		}
 	}
-	return sim.run(handoverSteps)
 }
 
 func newHandoverSimulation(seed uint64) *simulation {
--- a/internal/pool/hidden_workers_test.go
+++ b/internal/pool/hidden_workers_test.go
@@ -69,10 +69,14 @@
 func runHiddenWorkerSchedule(seed uint64, longest time.Duration, unbeknown bool) (map[string]int, error) {
 	sim := newHandoverSimulation(seed)
 	sim.handovers.lostGates = rand.New(rand.NewPCG(seed, 7))
-	sim.hidden = &hiddenWorkers{r: rand.New(rand.NewPCG(seed, 8)), longest: longest, unbeknown: unbeknown, until: make(map[worker.ID]time.Time)}
+	sim.hidden = newHiddenWorkers(seed, longest, unbeknown)
 	return sim.run(handoverSteps)
 }
 
+func newHiddenWorkers(seed uint64, longest time.Duration, unbeknown bool) *hiddenWorkers {
+	return &hiddenWorkers{r: rand.New(rand.NewPCG(seed, 8)), longest: longest, unbeknown: unbeknown, until: make(map[worker.ID]time.Time)}
+}
+
 // TestNoTaskRunsTwiceWhileWorkersAreUnknown: a new dispatcher gets to know some workers up to 2.5 s after its
 // takeover, and knows that it does not know all of them before.
 func TestNoTaskRunsTwiceWhileWorkersAreUnknown(t *testing.T) {
--- a/internal/pool/predecessor_test.go
+++ b/internal/pool/predecessor_test.go
@@ -69,6 +69,40 @@
 	})
 }
 
+// combinedSteps keeps the run time of the combined schedules low.
+const combinedSteps = 1500
+
+// TestNoTaskRunsTwiceUnderPredecessorAndMore combines dispatchers that go on after they were replaced with what
+// other schedules draw.
+func TestNoTaskRunsTwiceUnderPredecessorAndMore(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		longest time.Duration // that a replaced dispatcher goes on
+		add     func(sim *simulation, seed uint64)
+	}{
+		{"workers are unknown for some time", time.Second, func(sim *simulation, seed uint64) {
+			sim.hidden = newHiddenWorkers(seed, 2500*time.Millisecond, false)
+		}},
+		{"workers leave", time.Second, (*simulation).addDepartures},
+		{"clocks are set back", time.Second, (*simulation).setClocksBack},
+		{"a third dispatcher takes over while the first goes on", 3 * time.Second, func(sim *simulation, _ uint64) {
+			sim.handovers.gapRange = 300 * time.Millisecond
+		}},
+		{"gates are lost, others follow late", 2 * time.Second, func(sim *simulation, seed uint64) {
+			sim.handovers.predecessors.lateGates = true
+			sim.handovers.lostGates = rand.New(rand.NewPCG(seed, 7))
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			checkHandoverSchedules(t, func(seed uint64) (map[string]int, error) {
+				sim := newPredecessorSimulation(seed, c.longest)
+				c.add(sim, seed)
+				return sim.run(combinedSteps)
+			})
+		})
+	}
+}
+
 // TestNoTaskRunsTwiceOnUnnoticedRestart: an idle worker restarts after it has listed its runs to the next dispatcher. Its next
 // process has seen no fence, and carries out a start that the earlier dispatcher orders about when its gate
 // forwards the job.
