A VM that goes back to an earlier build gets no stamps

Calls are decoded strictly. A VM that had sent a stamp and restarted with an earlier build would have refused every heartbeat, ping and forward of this one. Its first message without a stamp, of another process, ends that. TestEarlierBuildGetsNoStamps fails before on that step.

--- a/internal/pool/gates.go
+++ b/internal/pool/gates.go
@@ -20,7 +20,7 @@
 	// callerRetryDelay is how long after a lost connection callers submit a job again, as the platform
 	// states it.
 	callerRetryDelay = 1300 * time.Millisecond
-	// maxLeaseSilence is the longest silence of its gates in which a job is started and leases of
+	// maxLeaseSilence is the longest silence of its gate in which a job is started and leases of
 	// its runs are extended: with a lease, on a clock that may be slow, less than callerRetryDelay.
 	maxLeaseSilence = 550 * time.Millisecond
 	// MaxGateSilence is the silence of a gate after which its jobs are to be withdrawn. It is less than the
@@ -47,7 +47,7 @@
 	}
 }
 
-// gateSilent reports whether no gate of j was heard lately enough for j to get leases.
+// gateSilent reports whether a gate of j was not heard lately enough for j to get leases.
 func (p *Pool) gateSilent(now time.Time, j *jobState) bool {
 	return p.config.GateContact != nil && now.Sub(j.gate.HeardAt) > maxLeaseSilence
 }
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -60,7 +60,7 @@
 	p.enqueueOrder(now, w, o)
 }
 
-// leasesMustLapse reports whether w has a run that no gate waits for here, or whose gates are silent, or one
+// leasesMustLapse reports whether w has a run that no gate waits for here, or whose gate is silent, or one
 // that has not stopped in spite of its orders. A deadline extends the leases of all runs there, and the
 // caller of such a job may submit it in another failure domain, which knows nothing of the run.
 func (p *Pool) leasesMustLapse(now time.Time, w *workerState) bool {
--- a/tamarackpin/internal/group/signs.go
+++ b/tamarackpin/internal/group/signs.go
@@ -100,15 +100,24 @@
 			if newest := s.newest[p.vm]; newest.Incarnation != made.Incarnation || newest.Age < made.Age {
 				s.newest[p.vm] = made
 			}
+		} else if p.incarnation != 0 && p.incarnation != s.newest[p.vm].Incarnation {
+			delete(s.newest, p.vm) // it may have gone back to an earlier build
+		}
+		v.arrivedAt = now
+		if sentAt.After(v.heardAt) {
+			v.heardAt = sentAt
 		}
-		v.heardAt, v.arrivedAt = later(v.heardAt, sentAt), now
 	})
 	return sentAt
 }
 
 // confirm records that a heartbeat whose claims are known was made after the given time.
 func (s *signsOfLife) confirm(p process, after time.Time) {
-	s.update(p, func(v *signOfLife) { v.confirmedAt = later(v.confirmedAt, after) })
+	s.update(p, func(v *signOfLife) {
+		if after.After(v.confirmedAt) {
+			v.confirmedAt = after
+		}
+	})
 }
 
 // of returns what the messages of a process show.
@@ -139,7 +148,9 @@
 		return pool.GateContact{HeardAt: now, ConfirmedAt: now}
 	}
 	sign := g.signs.of(t.process())
-	sign.heardAt = later(sign.heardAt, g.signs.of(process{vm: t.Gate}).heardAt) // by pings without a stamp
+	if unstamped := g.signs.of(process{vm: t.Gate}); unstamped.heardAt.After(sign.heardAt) {
+		sign.heardAt = unstamped.heardAt // by a ping of an earlier build
+	}
 	if sign.confirmedAt.IsZero() {
 		sign.confirmedAt = sign.heardAt
 	}
@@ -177,10 +188,3 @@
 			zap.Duration("silence", now.Sub(g.signs.of(p).heardAt)))
 	}
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/tamarackpin/internal/group/signs_test.go
+++ b/tamarackpin/internal/group/signs_test.go
@@ -7,6 +7,7 @@
 
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/internal/wire"
 	"tamarackpin.example/internal/worker"
 )
@@ -49,6 +50,29 @@
 	}
 }
 
+// TestEarlierBuildGetsNoStamps: an earlier build refuses calls with stamps, also one that a VM goes back to.
+func TestEarlierBuildGetsNoStamps(t *testing.T) {
+	now := time.Now()
+	g, _, _ := newTestGroup("ip-0a000001", now.Add(-time.Minute), nil)
+	const other = "ip-0a000002"
+	for i, c := range []struct {
+		incarnation vm.Incarnation
+		made        stamp
+		stamped     bool
+	}{
+		{1, stamp{}, false},
+		{2, stamp{2, wire.Duration(time.Second)}, true},
+		{2, stamp{}, true}, // made before it knew this VM
+		{3, stamp{}, false},
+	} {
+		g.signs.record(now, process{other, c.incarnation}, c.made)
+		hb := g.heartbeat(other)
+		if stamped := hb.Made != (stamp{}); stamped != c.stamped || hb.Echo != (stamp{}) != c.stamped {
+			t.Errorf("message %d: the next heartbeat has the stamps %+v and %+v, want some: %v", i, hb.Made, hb.Echo, c.stamped)
+		}
+	}
+}
+
 // TestForwardDelayedByCutIsNotAdmitted: a forward that a cut held back arrived after its gate had given the job up, and was
 // started beside the next try of the caller.
 func TestForwardDelayedByCutIsNotAdmitted(t *testing.T) {
@@ -99,7 +123,7 @@
 	execute := func(c call) {
 		o := c.order
 		if o.Deadline != 0 {
-			lease[o.Worker] = time.Now()
+			lease[o.Worker] = o.Sent
 		}
 		r := pool.Reply{Done: true, RepliedBy: 1, Clock: worker.Clock(time.Minute + time.Since(startedAt)), HasClock: true}
 		switch o.Kind {
@@ -173,8 +197,9 @@
 	for time.Since(lastHeartbeat) < 970*time.Millisecond { // before it steps down for want of contact
 		step()
 	}
-	if silence := lease[remoteWorker].Sub(lastHeartbeat); silence > 600*time.Millisecond {
-		t.Errorf("the newest lease of the job was asked for %s after the last heartbeat", silence)
+	const leaseDuration, callerRetryDelay = 700 * time.Millisecond, 1300 * time.Millisecond
+	if end := worker.LapsedBy(lease[remoteWorker], leaseDuration).Sub(lastHeartbeat); end > callerRetryDelay {
+		t.Errorf("the last lease of the job ends %s after the last heartbeat", end)
 	}
 	if own := time.Since(lease[ownWorker]); own > 500*time.Millisecond {
 		t.Errorf("the newest lease of the job of the own gate was asked for %s ago", own)
