--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -131,7 +131,7 @@
 	{RunFound, zapcore.WarnLevel, "run found that was not ordered", "The worker lists a run that this dispatcher did not order there: one of the dispatcher before, or a late start. With `assigned_to` the task is on another worker as well: look for event 816 of the task, and at the incarnation. Report it."},
 	{RunsListed, zapcore.InfoLevel, "runs of earlier dispatchers known", "Written once after a takeover: every worker has listed its runs, or `unlisted` names those that have not (of `unlisted_count`, at most eight) and the leases of the earlier dispatchers are over. `workers_incomplete` says that this VM may not know all workers."},
 	{StartUnlisted, zapcore.WarnLevel, "job started before all workers listed their runs", "After a takeover the dispatcher ordered a task while the workers in `unlisted` had not listed their runs. If one of them runs the same task, 817 names it."},
-	{GateLost, zapcore.WarnLevel, "job of a silent gate withdrawn", "The dispatcher did not hear the gate of the job for `silence`. The gate may have forwarded the job to another dispatcher, or its caller submits it again."},
+	{GateLost, zapcore.WarnLevel, "jobs of a silent gate withdrawn", "The dispatcher did not hear a gate for `silence` and withdrew its jobs, `jobs` of them. The gate may have forwarded them to another dispatcher, or their callers submit them again."},
 }
 
 var byID = func() map[ID]Entry {
