--- a/internal/pool/capacity_test.go
+++ b/internal/pool/capacity_test.go
@@ -169,6 +169,7 @@
 // TestUnguardedWorkersAreNotOverfilled runs the random schedules with workers that start
 // whatever they are ordered to, and whose capacity shrinks and grows.
 func TestUnguardedWorkersAreNotOverfilled(t *testing.T) {
+	t.Parallel()
 	shrinks := 0
 	for seed := range uint64(scheduleSeeds) {
 		sim := newSimulation(seed, noFault)
--- a/internal/pool/crash_schedule_test.go
+++ b/internal/pool/crash_schedule_test.go
@@ -249,6 +249,7 @@
 // TestForgottenLateStartsAreDetected shows that the schedules with hazards fail if dispatchers
 // forget the starts without a reply.
 func TestForgottenLateStartsAreDetected(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(faultSeeds) {
 		if _, err := runCrashSchedule(seed, 40, false, faultLateStartsForgotten); err != nil {
 			return
--- a/internal/pool/departures_test.go
+++ b/internal/pool/departures_test.go
@@ -101,6 +101,7 @@
 // TestNoTaskRunsTwiceWhileWorkersLeave: workers have deregistered, and go on for some seconds with what runs
 // there, around handovers.
 func TestNoTaskRunsTwiceWhileWorkersLeave(t *testing.T) {
+	t.Parallel()
 	if total := checkHandoverSchedules(t, runDepartureSchedule); total["departures"] < handoverSeeds {
 		t.Errorf("%d departures, too few for the test to be conclusive", total["departures"])
 	}
--- a/internal/pool/handover_test.go
+++ b/internal/pool/handover_test.go
@@ -248,12 +248,14 @@
 // TestNoTaskRunsTwiceAcrossHandovers runs the random schedules with planned handovers in series,
 // replies that are lost and connections that are reset around them (review/1, issue 39).
 func TestNoTaskRunsTwiceAcrossHandovers(t *testing.T) {
+	t.Parallel()
 	checkHandoverSchedules(t, runHandoverSchedule)
 }
 
 // TestNoTaskRunsTwiceAfterClocksSetBack runs the schedules with handovers and with workers whose clocks are
 // set back and forth, so that they restart with lower incarnations (review/5).
 func TestNoTaskRunsTwiceAfterClocksSetBack(t *testing.T) {
+	t.Parallel()
 	checkHandoverSchedules(t, runClockSchedule)
 }
 
@@ -261,6 +263,7 @@
 // job again as a new one. The next dispatcher started it although a worker that had not listed its runs
 // had it (issue 47).
 func TestNoTaskRunsTwiceAfterGateIsLost(t *testing.T) {
+	t.Parallel()
 	if total := checkHandoverSchedules(t, runLostGateSchedule); total["resubmitted"] < handoverSeeds {
 		t.Errorf("%d jobs resubmitted, too few for the test to be conclusive", total["resubmitted"])
 	}
@@ -291,6 +294,7 @@
 // TestUnguardedWorkersAreNotOverfilledAcrossHandovers runs the schedules with handovers and with workers that
 // start whatever they are ordered to, and whose capacity shrinks and grows meanwhile.
 func TestUnguardedWorkersAreNotOverfilledAcrossHandovers(t *testing.T) {
+	t.Parallel()
 	checkHandoverSchedules(t, func(seed uint64) (map[string]int, error) {
 		sim := newHandoverSimulation(seed)
 		sim.capacities = rand.New(rand.NewPCG(seed, 2))
--- a/internal/pool/hidden_workers_test.go
+++ b/internal/pool/hidden_workers_test.go
@@ -80,6 +80,7 @@
 // TestNoTaskRunsTwiceWhileWorkersAreUnknown: a new dispatcher gets to know some workers up to 2.5 s after its
 // takeover, and knows that it does not know all of them before.
 func TestNoTaskRunsTwiceWhileWorkersAreUnknown(t *testing.T) {
+	t.Parallel()
 	total := checkHandoverSchedules(t, func(seed uint64) (map[string]int, error) {
 		return runHiddenWorkerSchedule(seed, 2500*time.Millisecond, false)
 	})
@@ -91,6 +92,7 @@
 // TestMissedWorkersAreDetected shows that the schedules fail if dispatchers count on knowing all workers while
 // they do not.
 func TestMissedWorkersAreDetected(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(faultSeeds) {
 		if _, err := runHiddenWorkerSchedule(seed, time.Second, true); err != nil {
 			return
--- a/internal/pool/offload_schedule_test.go
+++ b/internal/pool/offload_schedule_test.go
@@ -133,6 +133,7 @@
 // TestNoTaskRunsTwiceInTwoGroups: jobs are offloaded to another group, and their gates are lost. Their callers
 // submit them again to their own group, or that one offloads them again.
 func TestNoTaskRunsTwiceInTwoGroups(t *testing.T) {
+	t.Parallel()
 	total, failed := make(map[string]int), 0
 	for seed := range handoverSeeds + *moreSchedules {
 		stats, err := newOffloadSimulation(seed).run(handoverSteps)
--- a/internal/pool/predecessor_test.go
+++ b/internal/pool/predecessor_test.go
@@ -38,6 +38,7 @@
 // isolationTimeout of package lead, with workers that only it reaches. The seeds that are named are from more
 // schedules than the standard ones.
 func TestNoTaskRunsTwiceUnderItsPredecessor(t *testing.T) {
+	t.Parallel()
 	run := func(seed uint64) (map[string]int, error) {
 		return newPredecessorSimulation(seed, time.Second).run(handoverSteps)
 	}
@@ -52,6 +53,7 @@
 // TestNoTaskRunsTwiceUnderLastingPredecessor: a dispatcher that is cut off from the other entry VMs only goes on for
 // seconds, and the gates of some of its jobs are lost (issue 50).
 func TestNoTaskRunsTwiceUnderLastingPredecessor(t *testing.T) {
+	t.Parallel()
 	checkHandoverSchedules(t, func(seed uint64) (map[string]int, error) {
 		sim := newPredecessorSimulation(seed, 3*time.Second)
 		sim.handovers.lostGates = rand.New(rand.NewPCG(seed, 7))
@@ -62,6 +64,7 @@
 // TestNoTaskRunsTwiceWhenGatesFollowLate: gates hear of a takeover up to 2 s late, and forward their jobs
 // when the next dispatcher starts others already (issue 50).
 func TestNoTaskRunsTwiceWhenGatesFollowLate(t *testing.T) {
+	t.Parallel()
 	checkHandoverSchedules(t, func(seed uint64) (map[string]int, error) {
 		sim := newPredecessorSimulation(seed, 2*time.Second)
 		sim.handovers.predecessors.lateGates = true
@@ -75,6 +78,7 @@
 // TestNoTaskRunsTwiceUnderPredecessorAndMore combines dispatchers that go on after they were replaced with what
 // other schedules draw.
 func TestNoTaskRunsTwiceUnderPredecessorAndMore(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		longest time.Duration // that a replaced dispatcher goes on
--- a/internal/pool/replay_test.go
+++ b/internal/pool/replay_test.go
@@ -473,6 +473,7 @@
 // TestReplays compares Pool with the naive dispatcher under each load pattern of the
 // users' sheets (issue 11). The results are in testdata/replays.golden.
 func TestReplays(t *testing.T) {
+	t.Parallel()
 	var table bytes.Buffer
 	fmt.Fprintf(&table, "pattern | row | jobs | refused in all rows | objective met, naive | objective met | p99 ms, naive | p99 ms\n")
 	for i, r := range replayResults() {
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -645,6 +645,7 @@
 // a network partition, slow clocks, takeovers while the old dispatcher is frozen, and new
 // divisions of the workers (issues 10 and 12).
 func TestNoTaskRunsTwiceAtOnce(t *testing.T) {
+	t.Parallel()
 	total := make(map[string]int)
 	for seed := range uint64(scheduleSeeds) {
 		stats, err := runSchedule(seed, noFault)
@@ -669,6 +670,7 @@
 // TestInjectedPoolFaultsAreDetected shows that checkNoConcurrentRuns fails under each
 // injected fault.
 func TestInjectedPoolFaultsAreDetected(t *testing.T) {
+	t.Parallel()
 	for _, f := range []fault{faultNoReplyAsUnsent, faultStopAckForged, faultLeasesNeverLapse, faultFenceIgnored, faultRestartHidden, faultStoppedRunStarted, faultDivisionHidden} {
 		detected := false
 		for seed := uint64(0); seed < faultSeeds && !detected; seed++ {
@@ -686,6 +688,7 @@
 // incarnation. On these seeds, from more schedules than the standard ones, a task ran
 // twice at once (issue 10).
 func TestLateStartReachesNewIncarnation(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{2577, 4190, 7630} {
 		if _, err := runSchedule(seed, noFault); err != nil {
 			t.Errorf("seed %d: %v", seed, err)
