--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -78,9 +78,9 @@
 type Report struct {
 	FailureDomain vm.FailureDomain `json:"failure_domain"`
 	Group         lead.Group       `json:"group,omitempty"`
-	Epoch         lead.Fence       `json:"epoch,omitempty"`       // of the division of workers that the group belongs to; 0 before the first
-	VM            vm.ID            `json:"vm"`                    // VM of the dispatcher
-	Incarnation   vm.Incarnation   `json:"incarnation,omitempty"` // of VM; set by the control VM that receives the report
+	Epoch         lead.Fence       `json:"epoch,omitempty"` // of the division of workers that the group belongs to; 0 before the first
+	VM            vm.ID            `json:"vm"`              // VM of the dispatcher
+	Incarnation   vm.Incarnation   `json:"incarnation,omitempty"`
 	Fence         lead.Fence       `json:"fence"`
 	FreeSlots     int              `json:"free_places"` // free capacity, in tasks of mean need (see meanNeed), less all tasks of jobs with waiting tasks; may be negative
 }
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -98,7 +98,6 @@
 	k.SetDivision(req.Self.FailureDomain, req.Division)
 	k.mu.Lock()
 	for _, r := range req.Reports {
-		r.Incarnation = req.Self.Incarnation
 		k.recordReport(time.Now(), r)
 	}
 	k.mu.Unlock()
