--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -8,7 +8,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,13 +33,12 @@
 	table   atomic.Pointer[routes.Table]
 	history tableHistory // of table
 
-	mu               sync.Mutex // guards the fields below
-	self             vm.Presence
-	roster           vm.Roster
-	registry         worker.Registry
-	own              []pool.Report // of the groups that this VM leads
-	ledGroupsChanged chan struct{} // closed and replaced when own has other leads
-	reports          map[groupKey]receivedReport
+	mu       sync.Mutex // guards the fields below
+	self     vm.Presence
+	roster   vm.Roster
+	registry worker.Registry
+	own      []pool.Report // of the groups that this VM leads
+	reports  map[groupKey]receivedReport
 	// divisions is that of this VM's failure domain; on a control VM, those of all.
 	divisions       divisions
 	changed         chan struct{} // closed and replaced at each change
@@ -50,7 +48,7 @@
 
 // NewKnowledge returns the Knowledge of a VM that just started: only itself.
 func NewKnowledge(self vm.Presence, log *zap.Logger) *Knowledge {
-	return &Knowledge{log: log, self: self, changed: make(chan struct{}), ledGroupsChanged: make(chan struct{})}
+	return &Knowledge{log: log, self: self, changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed at the next change that other VMs should
@@ -226,20 +224,13 @@
 func (k *Knowledge) SetReports(list []pool.Report) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	sameLead := func(a, b pool.Report) bool { return a.Fence == b.Fence && a.Destination() == b.Destination() }
-	if !slices.EqualFunc(k.own, list, sameLead) {
-		close(k.ledGroupsChanged)
-		k.ledGroupsChanged = make(chan struct{})
-	}
 	k.own = list
 }
 
-// ownReports returns the reports of the groups that this VM leads, and a channel that is closed once it leads
-// others, or under other fences.
-func (k *Knowledge) ownReports() ([]pool.Report, <-chan struct{}) {
+func (k *Knowledge) ownReports() []pool.Report {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.own, k.ledGroupsChanged
+	return k.own
 }
 
 // recordReport records a Report unless one under a higher fence, or one as late
--- a/tamarackpin/internal/fleet/syncer.go
+++ b/tamarackpin/internal/fleet/syncer.go
@@ -114,22 +114,15 @@
 // control VM. Lost and regained contact are logged once each.
 func (s *Syncer) syncLoop(ctx context.Context, id vm.ID) {
 	var req syncRequest
-	unreachable, ledGroupsChanged := false, false
+	unreachable := false
 	for ctx.Err() == nil && s.isControlVM(id) {
 		req.Self = s.Knowledge.Self()
-		var outdated <-chan struct{}
-		req.Reports, outdated = s.Knowledge.ownReports()
+		req.Reports = s.Knowledge.ownReports()
 		req.Division = s.Knowledge.Division(req.Self.FailureDomain)
-		req.Wait = wire.Duration(req.longestDelay())
-		if ledGroupsChanged {
-			req.Wait = 0 // the reply to the earlier call is lost
-		}
+		req.Wait = wire.Duration(s.wait())
 		s.setVersions(&req)
-		reply, err := s.syncOnce(ctx, id, req, outdated)
+		reply, err := s.syncOnce(ctx, id, req)
 		if err != nil {
-			if ledGroupsChanged = isClosed(outdated); ledGroupsChanged {
-				continue
-			}
 			if !unreachable && ctx.Err() == nil {
 				event.Log(s.Log, event.ControlLost, zap.String("vm", string(id)), event.Err(err))
 			}
@@ -140,7 +133,6 @@
 			}
 			continue
 		}
-		ledGroupsChanged = false
 		if unreachable {
 			event.Log(s.Log, event.ControlFound, zap.String("vm", string(id)))
 			unreachable = false
@@ -154,33 +146,15 @@
 	}
 }
 
-func isClosed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
-// syncOnce gives up once the request is outdated: an earlier dispatcher may learn of this one only
-// by its report.
-func (s *Syncer) syncOnce(ctx context.Context, id vm.ID, req syncRequest, outdated <-chan struct{}) (syncReply, error) {
+func (s *Syncer) syncOnce(ctx context.Context, id vm.ID, req syncRequest) (syncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, req.Wait.Std()+syncSlack)
 	defer cancel()
-	go func() {
-		select {
-		case <-outdated:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	return peer.Call[syncReply](ctx, s.Mesh, id, report.UseHeartbeat, methodSync, req)
 }
 
-// longestDelay returns how long a control VM may delay its reply.
-func (r *syncRequest) longestDelay() time.Duration {
-	if len(r.Reports) > 0 {
+// wait returns how long a control VM may delay its reply.
+func (s *Syncer) wait() time.Duration {
+	if len(s.Knowledge.ownReports()) > 0 {
 		return leaderSyncWait
 	}
 	return defaultSyncWait
