--- a/internal/lead/division_test.go
+++ b/internal/lead/division_test.go
@@ -79,7 +79,7 @@
 				}
 				for g, l := range list {
 					needsLeader := l.NeedsLeader(now)
-					l.Tick(now, ControlNews{RepliedAt: now}, others)
+					l.Tick(now, now, others)
 					if needsLeader {
 						others.LeaderlessBefore++
 					}
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -19,20 +19,11 @@
 	frozen         map[int]bool
 	partitioned    map[int]bool      // from all other VMs, including control VMs
 	controlReplyAt map[int]time.Time // last reply of a control VM to each VM
-	cut            map[[2]int]bool   // heartbeats from the first VM to the second are lost
-	report         ReportedLead      // the newest that the control VM has
-	reported       []ReportedLead    // by control VMs to each VM
-	syncAt         []time.Time       // of each VM's next call to the control VM
-	syncDelay      func(int) time.Duration
 	claims         []Claim
 }
 
 func newSim(n int) *sim {
-	s := &sim{
-		now: time.Unix(1_700_000_000, 0), frozen: make(map[int]bool), partitioned: make(map[int]bool), controlReplyAt: make(map[int]time.Time), cut: make(map[[2]int]bool),
-		reported: make([]ReportedLead, n), syncAt: make([]time.Time, n),
-	}
-	s.syncDelay = func(int) time.Duration { return maxSyncDelay }
+	s := &sim{now: time.Unix(1_700_000_000, 0), frozen: make(map[int]bool), partitioned: make(map[int]bool), controlReplyAt: make(map[int]time.Time)}
 	for i := range n {
 		s.vms = append(s.vms, New(s.now, vm.Presence{VM: vmID(i), Incarnation: 1}))
 	}
@@ -59,39 +50,20 @@
 			}
 			if !s.partitioned[i] {
 				s.controlReplyAt[i] = s.now
-				s.sync(i, l)
 			}
-			if c, ok := l.Tick(s.now, ControlNews{RepliedAt: s.controlReplyAt[i], Lead: s.reported[i]}, OtherGroups{}); ok {
+			if c, ok := l.Tick(s.now, s.controlReplyAt[i], OtherGroups{}); ok {
 				s.claims = append(s.claims, c)
 			}
 		}
 	}
 }
 
-// maxSyncDelay is the longest time from a report to the reply with it, twice: until the leader's next call,
-// and until the reply to the other VM.
-const maxSyncDelay = 800 * time.Millisecond
-
-// sync exchanges reports of VM i with the control VM when its call is due.
-func (s *sim) sync(i int, l *Leadership) {
-	if s.now.Before(s.syncAt[i]) {
-		return
-	}
-	s.syncAt[i] = s.now.Add(s.syncDelay(i))
-	if c := l.Claim(); l.IsLeader() && c.Fence >= s.report.Fence {
-		s.report = ReportedLead{c, s.now}
-	}
-	if s.report.VM != l.self.VM && s.now.Sub(s.report.MadeAt) < 1500*time.Millisecond {
-		s.reported[i] = s.report
-	}
-}
-
 // sendHeartbeats delivers heartbeats from VM i to the others; while there is a
 // leader, followers exchange them among each other only at slowInterval.
 func (s *sim) sendHeartbeats(i int, l *Leadership, slowInterval bool) {
 	leader, hasLeader := l.Leader(s.now)
 	for j, o := range s.vms {
-		if i == j || s.frozen[j] || s.partitioned[i] || s.partitioned[j] || s.cut[[2]int{i, j}] {
+		if i == j || s.frozen[j] || s.partitioned[i] || s.partitioned[j] {
 			continue
 		}
 		if hasLeader && leader != vmID(i) && leader != vmID(j) && !slowInterval {
@@ -412,7 +384,7 @@
 		for at := time.Duration(0); at < 6*time.Second; at += c.tickEvery {
 			s.now = s.now.Add(c.tickEvery)
 			// A heartbeat is read every 1.05 s, after the tick of that time.
-			_, ok := l.Tick(s.now, ControlNews{RepliedAt: s.now}, OtherGroups{})
+			_, ok := l.Tick(s.now, s.now, OtherGroups{})
 			claimed = claimed || ok
 			if at%(1050*time.Millisecond) < c.tickEvery {
 				l.RecordHeartbeat(s.now, s.vms[leader].self)
@@ -439,7 +411,7 @@
 	tick := func() {
 		now = now.Add(tickInterval)
 		l.RecordHeartbeat(now, leader)
-		if c, claimed := l.Tick(now, ControlNews{RepliedAt: now}, OtherGroups{}); claimed {
+		if c, claimed := l.Tick(now, now, OtherGroups{}); claimed {
 			t.Fatalf("after %s: claim %+v", now.Sub(startedAt), c)
 		}
 	}
@@ -463,7 +435,7 @@
 	l, lastContact := s.vms[0], s.now
 	for l.IsLeader() && s.now.Sub(lastContact) < 10*time.Second {
 		s.now = s.now.Add(tickEvery)
-		l.Tick(s.now, ControlNews{RepliedAt: lastContact}, OtherGroups{})
+		l.Tick(s.now, lastContact, OtherGroups{})
 	}
 	if took := s.now.Sub(lastContact); took > isolationTimeout+tickEvery {
 		t.Errorf("it stepped down %s after its last contact, want %s at most", took, isolationTimeout+tickEvery)
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -60,9 +60,6 @@
 	// claims nevertheless: longer than the longest partition of one VM from all
 	// others that the platform states.
 	isolatedClaimDelay = 8 * time.Second
-	// reportedLeadTimeout is how long a report that control VMs passed on shows that its group is led: a
-	// takeover, and the delays of the successor's report at a control VM and of the reply with it.
-	reportedLeadTimeout = 3 * time.Second
 	// peerExpiry is the time without a heartbeat after which AllPeersAvailable
 	// ignores a peer: longer than the partitions that the platform states.
 	peerExpiry = 30 * time.Second
@@ -85,7 +82,7 @@
 	lastTick        time.Time
 	claim           Claim
 	claimHeard      bool      // a peer has told which claim it knows, if any
-	claimedAt       time.Time // when claim became known or was reported, a sign of life of its holder
+	claimedAt       time.Time // when claim became known, a sign of life of its holder
 	highestFence    Fence     // highest fence known, including refused ones
 	leaderlessSince time.Time // when NeedsLeader became true; zero while it is false
 	refusedAt       time.Time
@@ -199,40 +196,19 @@
 	LeaderlessBefore int           // number of groups with a lower index that need a leader
 }
 
-// ControlNews is what control VMs tell about a group.
-type ControlNews struct {
-	RepliedAt time.Time // when one last answered
-	Lead      ReportedLead
-}
-
-// ReportedLead is the newest claim under which a leader reported its group to control VMs. The zero
-// ReportedLead has none.
-type ReportedLead struct {
-	Claim
-	MadeAt time.Time // local time of the report
-}
-
 // Tick decides whether this process claims leadership now, and returns its claim
-// if it does.
+// if it does. controlReplyAt is when a control VM last answered.
 //
 // A process that was paused for longer than MaxTickGap steps down and listens
 // again before it claims. A process without contact to any other VM is probably
 // partitioned itself: it steps down before another leader starts tasks that it
-// may run, and does not take over from a leader that may be alive. One that is cut off from
-// its peers only learns from control VMs that it was replaced.
-func (l *Leadership) Tick(now time.Time, news ControlNews, o OtherGroups) (claim Claim, claimed bool) {
+// may run, and does not take over from a leader that may be alive.
+func (l *Leadership) Tick(now, controlReplyAt time.Time, o OtherGroups) (claim Claim, claimed bool) {
 	paused := now.Sub(l.lastTick) > MaxTickGap
 	l.excuseSilence(now, now.Sub(l.lastTick)-MaxTickDelay)
 	l.lastTick = now
-	if news.RepliedAt.After(l.lastContact) {
-		l.recordContact(now, news.RepliedAt)
-	}
-	if !news.Lead.MadeAt.After(l.startedAt) {
-		news.Lead = ReportedLead{} // its leader may have been lost when this process was
-	}
-	if news.Lead.Fence > l.claim.Fence {
-		l.RecordClaim(now, news.Lead.VM, news.Lead.Claim)
-		l.claimedAt = news.Lead.MadeAt
+	if controlReplyAt.After(l.lastContact) {
+		l.recordContact(now, controlReplyAt)
 	}
 	if paused {
 		l.listeningSince = now
@@ -248,7 +224,7 @@
 		l.leaderlessSince = now
 	}
 	mayClaim := now.Sub(l.listeningSince) >= listenDuration && now.Sub(l.firstContact) >= settleDuration && now.Sub(l.refusedAt) >= refusalBackoff
-	if !mayClaim || !l.hasReliableView(now, news.RepliedAt) || l.ledUnheard(now, news.Lead) || !l.isNextLeader(now, o) {
+	if !mayClaim || !l.hasReliableView(now, controlReplyAt) || !l.isNextLeader(now, o) {
 		return Claim{}, false
 	}
 	l.claim = Claim{Fence: nextFence(now, l.self.VM, l.highestFence), VM: l.self.VM, Incarnation: l.self.Incarnation}
--- a/internal/lead/liveness.go
+++ b/internal/lead/liveness.go
@@ -78,27 +78,6 @@
 	return false
 }
 
-// ledUnheard reports whether control VMs show that the leader works and only this process does not hear it.
-// A process that heard it lead, and still hears other peers, claims all the same: the leader
-// is the one that is cut off.
-func (l *Leadership) ledUnheard(now time.Time, r ReportedLead) bool {
-	if r.VM == "" || r.Claim != l.claim || now.Sub(r.MadeAt) >= reportedLeadTimeout {
-		return false
-	}
-	heardAt := l.peers[r.VM].LastSeen
-	return r.MadeAt.Sub(heardAt) > LeaderTimeout && (heardAt.Before(l.claimedAt) || !l.hearsPeer(now))
-}
-
-// hearsPeer reports whether a peer was heard within isolationTimeout.
-func (l *Leadership) hearsPeer(now time.Time) bool {
-	for _, p := range l.peers {
-		if now.Sub(p.LastSeen) <= isolationTimeout {
-			return true
-		}
-	}
-	return false
-}
-
 // peerTimeout returns the time without a heartbeat after which a peer counts as
 // dead. Without a leader, peers exchange heartbeats more often, so after
 // probeDuration the shorter timeout applies.
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -74,13 +74,12 @@
 }
 
 // Report is what a group tells others of itself, so that they can decide whether to
-// offload jobs to it, and that an earlier dispatcher that hears no peer learns of its successor.
+// offload jobs to it.
 type Report struct {
 	FailureDomain vm.FailureDomain `json:"failure_domain"`
 	Group         lead.Group       `json:"group,omitempty"`
 	Epoch         lead.Fence       `json:"epoch,omitempty"` // of the division of workers that the group belongs to; 0 before the first
 	VM            vm.ID            `json:"vm"`              // VM of the dispatcher
-	Incarnation   vm.Incarnation   `json:"incarnation,omitempty"`
 	Fence         lead.Fence       `json:"fence"`
 	FreeSlots     int              `json:"free_places"` // free capacity, in tasks of mean need (see meanNeed), less all tasks of jobs with waiting tasks; may be negative
 }
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -279,17 +279,6 @@
 	return pool.Report{FailureDomain: d.FailureDomain, Group: d.Group, Epoch: d.Epoch, VM: d.VM}
 }
 
-// ReportedLead returns the claim under which another VM of this failure domain last reported a group.
-func (k *Knowledge) ReportedLead(group lead.Group, epoch lead.Fence) lead.ReportedLead {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	r, known := k.reports[groupKey{k.self.FailureDomain, group}]
-	if !known || r.Epoch != epoch || r.VM == k.self.VM || r.Incarnation == 0 {
-		return lead.ReportedLead{}
-	}
-	return lead.ReportedLead{Claim: lead.Claim{Fence: r.Fence, VM: r.VM, Incarnation: r.Incarnation}, MadeAt: r.madeAt}
-}
-
 // CountWorkers returns the number of workers of a failure domain that may be given
 // tasks now.
 func (k *Knowledge) CountWorkers(now time.Time, d vm.FailureDomain) int {
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -55,7 +55,7 @@
 	VMCursor     vm.RosterCursor `json:"vm_cursor"`
 	Workers      []agedWorker    `json:"workers,omitempty"`
 	WorkerCursor worker.Cursor   `json:"worker_cursor"`
-	Reports      []agedReport    `json:"reports,omitempty"` // of groups that other VMs lead
+	Reports      []agedReport    `json:"reports,omitempty"` // of groups that the requester doesn't lead
 	// Division is that of the requester's failure domain, if newer than requested.
 	Division lead.Division `json:"division,omitzero"`
 }
@@ -143,7 +143,7 @@
 		}
 	}
 	for key, r := range k.reports {
-		fromOther := key.domain != req.Self.FailureDomain || r.VM != req.Self.VM
+		fromOther := key.domain != req.Self.FailureDomain || r.Epoch != 0 && r.VM != req.Self.VM
 		if age := now.Sub(r.madeAt); req.Self.Callers && fromOther && age < reportMaxAge {
 			reply.Reports = append(reply.Reports, agedReport{r.Report, wire.Duration(age).Round()})
 		}
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -17,7 +17,7 @@
 // number of leaderless groups before it.
 func (g *Group) tickLeaderships(now time.Time) {
 	g.recordSignsOfLife(now)
-	news := lead.ControlNews{RepliedAt: g.config.Syncer.LastContact()}
+	controlReplyAt := g.config.Syncer.LastContact()
 	others := lead.OtherGroups{GroupsLed: make(map[vm.ID]int)}
 	for _, s := range g.groups {
 		if leader, led := s.leadership.Leader(now); led {
@@ -27,8 +27,7 @@
 	for i, s := range g.groups {
 		leaderless := s.leadership.NeedsLeader(now)
 		first := s.leadership.NoEarlierLeader()
-		news.Lead = g.config.Knowledge.ReportedLead(lead.Group(i), g.division.Epoch)
-		if claim, claimed := s.leadership.Tick(now, news, others); claimed {
+		if claim, claimed := s.leadership.Tick(now, controlReplyAt, others); claimed {
 			incomplete := g.workersIncomplete(now)
 			event.Log(g.config.Log, event.LeadTaken, zap.Int("group", i), zap.Int64("fence", int64(claim.Fence)), zap.Int("living", len(s.leadership.LivePeers(now))),
 				zap.Bool("workers_incomplete", incomplete), zap.Bool("first", first), zap.Any("control_news_seconds", g.config.Syncer.ContactAges(now)),
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -251,7 +251,7 @@
 			s.pool.CompleteWorkers(now)
 		}
 		r := s.pool.Report(now)
-		r.VM, r.Incarnation, r.FailureDomain, r.Group, r.Epoch = g.self.VM, g.self.Incarnation, g.self.FailureDomain, lead.Group(i), g.division.Epoch
+		r.VM, r.FailureDomain, r.Group, r.Epoch = g.self.VM, g.self.FailureDomain, lead.Group(i), g.division.Epoch
 		reports = append(reports, r)
 	}
 	g.config.Knowledge.SetReports(reports)
