Show that a successor behind a cut lacks new workers

A worker that started 0.30 s before its takeover was known to its predecessor, which started a task on it, and not to the successor, which started the task elsewhere.

--- a/tamarackpin/internal/group/partial_test.go
+++ b/tamarackpin/internal/group/partial_test.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/internal/worker"
@@ -89,3 +90,27 @@
 		t.Error("a fetch from a neighbour counts for another time than a reply of a control VM")
 	}
 }
+
+// TestSuccessorBehindACutLacksNewWorkers: a VM that is cut off from all control VMs takes over with the workers that a neighbour
+// knew half a second before. It does not know one that has started since, on which its predecessor runs a task (bench day
+// successor-behind-a-cut of mwanga-pin, seed 1031055958199).
+func TestSuccessorBehindACutLacksNewWorkers(t *testing.T) {
+	now := time.Now()
+	g, _, _ := newTestGroup("ip-0a000001", now.Add(-time.Minute), nil)
+	g.config.LeaseMax, g.config.StopMax = time.Second, 50*time.Millisecond
+	g.config.Syncer.RecordContact(now.Add(-5 * time.Second))
+	fetched := now.Add(-500 * time.Millisecond)
+	g.workersCompleteAt.Store(&fetched)
+	for at := now.Add(-10 * time.Second); at.Before(now); at = at.Add(followerTickInterval) {
+		g.groups[0].leadership.RecordHeartbeat(at, vm.Presence{VM: "ip-0a000002", FailureDomain: "a", Incarnation: 1, Callers: true, Processor: 500})
+		g.groups[0].leadership.RecordClaim(at, "ip-0a000002", lead.Claim{Fence: 1 << 60, VM: "ip-0a000002", Incarnation: 1})
+		g.tickLeaderships(at)
+	}
+	g.groups[0].leadership.RecordHeartbeat(now, vm.Presence{VM: "ip-0a000002", FailureDomain: "a", Incarnation: 1, Callers: true, Processor: 500, Draining: true})
+	if g.tickLeaderships(now); g.groups[0].pool == nil {
+		t.Fatal("the VM did not take over from a leader that drains")
+	}
+	if takeover := g.groups[0].pool.Takeover(now); !takeover.WorkersIncomplete || takeover.RunsKnown {
+		t.Errorf("at its takeover the VM considers itself to know all workers: %+v", takeover)
+	}
+}
