Terms of the field in the change for silent gates; a check that could not fail

Comments, test names and log texts said sign of life, go on, count as, know of; signsOfLife is lastContacts, in last_contact.go. No logic is changed.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -112,13 +112,13 @@
 	{MemberChanged, zapcore.InfoLevel, "control member changed", "The voters of the control quorum changed."},
 	{TailCutOff, zapcore.WarnLevel, "tail cut off", "The end of the control log was not whole and was cut off; it had not been acknowledged."},
 	{TableFetchFailed, zapcore.WarnLevel, "table not fetched", "A VM announced a newer table and did not deliver it; the other VMs that announced it are asked, and the older version `held` stays in force meanwhile."},
-	{LeadTaken, zapcore.InfoLevel, "lead taken", "This entry VM orders the workers of this group of its failure domain from now on, under this fence. `peer_news_seconds` is how long ago each other entry VM was heard."},
+	{LeadTaken, zapcore.InfoLevel, "lead taken", "This entry VM orders the workers of this group of its failure domain from now on, under this fence. `peer_news_seconds` is the time since the last heartbeat of each other entry VM."},
 	{LeadLost, zapcore.WarnLevel, "lead lost", "This entry VM does not order the workers of this group any more; another does, or it drains or was frozen. `refused_by` is the worker that has seen a higher fence, if one told."},
 	{JobAnswered, zapcore.InfoLevel, "job answered", "A caller's job is complete."},
 	{JobSpilled, zapcore.InfoLevel, "job handed to another group", "Its own group would have been late with it; the outcome is what the other made of it."},
 	{JobNotCompleted, zapcore.WarnLevel, "job not completed", "A caller's job was refused (not_run), failed or was given up (abandoned), for the reason in the field."},
 	{WorkersDivided, zapcore.InfoLevel, "workers divided", "The workers of the failure domain are divided into another number of groups, each with a dispatcher; what runs is stopped, and starts again after 1.5 s."},
-	{JobStarted, zapcore.InfoLevel, "job started", "The dispatcher ordered the first task of a job; `gates` says how many gates wait for its answer, and `gate_silence` for how long none of them was heard."},
+	{JobStarted, zapcore.InfoLevel, "job started", "The dispatcher ordered the first task of a job; `gates` says how many gates wait for its answer, and `gate_silence` the time since the last message of the one that has been silent for longest."},
 	{JobHandedAgain, zapcore.InfoLevel, "job handed in again", "A gate handed in a job that is in hand here (`known`) or that was handed to another dispatcher before (`may_run`)."},
 	{JobRefused, zapcore.InfoLevel, "job refused by its dispatcher", "The dispatcher had started no task of it; with `elsewhere` another group may take it."},
 	{AnswerUnclaimed, zapcore.InfoLevel, "answer that no gate waits for", "The gates of the job were lost or have withdrawn it."},
@@ -131,7 +131,7 @@
 	{RunFound, zapcore.WarnLevel, "run found that was not ordered", "The worker lists a run that this dispatcher did not order there: one of the dispatcher before, or a late start. With `assigned_to` the task is on another worker as well: look for event 816 of the task, and at the incarnation. Report it."},
 	{RunsListed, zapcore.InfoLevel, "runs of earlier dispatchers known", "Written once after a takeover: every worker has listed its runs, or `unlisted` names those that have not (of `unlisted_count`, at most eight) and the leases of the earlier dispatchers are over. `workers_incomplete` says that this VM may not know all workers."},
 	{StartUnlisted, zapcore.WarnLevel, "job started before all workers listed their runs", "After a takeover the dispatcher ordered a task while the workers in `unlisted` had not listed their runs. If one of them runs the same task, 817 names it."},
-	{GateLost, zapcore.WarnLevel, "jobs of a silent gate withdrawn", "The dispatcher did not hear a gate for `silence` and withdrew its jobs, `jobs` of them. The gate may have forwarded them to another dispatcher, or their callers submit them again."},
+	{GateLost, zapcore.WarnLevel, "jobs of a silent gate withdrawn", "The dispatcher received no message of a gate for `silence` and withdrew its jobs, `jobs` of them. The gate may have forwarded them to another dispatcher, or their callers submit them again."},
 }
 
 var byID = func() map[ID]Entry {
--- a/internal/lead/liveness.go
+++ b/internal/lead/liveness.go
@@ -102,7 +102,7 @@
 	return live
 }
 
-// PeerAges returns the age in seconds of the last sign of life of each peer, for the log.
+// PeerAges returns the time in seconds since the last heartbeat or answer of each peer, for the log.
 func (l *Leadership) PeerAges(now time.Time) map[vm.ID]float64 {
 	ages := make(map[vm.ID]float64)
 	for id, p := range l.peers {
--- a/internal/pool/gates.go
+++ b/internal/pool/gates.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// GateContact is what a dispatcher knows of the gates that wait for an admission, usually one. If there are
-// several, it is that of the gate of which least is known.
+// GateContact is a dispatcher's contact with the gates that wait for an admission, usually one. With several
+// gates, each field is that of the gate with the earliest time.
 type GateContact struct {
 	// HeardAt is when the gate sent the newest message that arrived.
 	HeardAt time.Time
@@ -12,7 +12,7 @@
 	ConfirmedAt time.Time
 }
 
-// Bounds for the jobs of gates that are not heard. Such a gate may have forwarded the job to the
+// Bounds for the jobs of silent gates. Such a gate may have forwarded the job to the
 // next dispatcher, or its caller submits the job again through another gate, anywhere,
 // callerRetryDelay after the loss of this one. So no lease of a job outlasts the newest message of its gate by
 // callerRetryDelay.
@@ -23,13 +23,13 @@
 	// maxLeaseSilence is the longest silence of its gate in which a job is started and leases of
 	// its runs are extended: with a lease, on a clock that may be slow, less than callerRetryDelay.
 	maxLeaseSilence = 550 * time.Millisecond
-	// MaxGateSilence is the silence of a gate after which its jobs are to be withdrawn. It is less than the
-	// silence in which the leases of other runs on the same workers lapse, unless the gates of several lose
-	// contact one after the other.
+	// MaxGateSilence is the silence of a gate after which its jobs are to be withdrawn, before the leases of
+	// other runs on the same workers lapse. They lapse nevertheless if the gates of several jobs on a worker
+	// fall silent one after the other.
 	MaxGateSilence = 900 * time.Millisecond
 )
 
-// observeGate updates what is known of the gates of a pending job.
+// observeGate updates the gate contact of a pending job.
 func (p *Pool) observeGate(now time.Time, j *jobState) {
 	c := GateContact{HeardAt: now, ConfirmedAt: now}
 	if p.config.GateContact != nil {
@@ -38,7 +38,7 @@
 	j.gate.HeardAt, j.gate.ConfirmedAt = later(j.gate.HeardAt, c.HeardAt), later(j.gate.ConfirmedAt, c.ConfirmedAt)
 }
 
-// observeGates updates what is known of the gates of all pending jobs.
+// observeGates updates the gate contacts of all pending jobs.
 func (p *Pool) observeGates(now time.Time) {
 	for _, j := range p.jobs {
 		if !j.closed {
@@ -47,7 +47,7 @@
 	}
 }
 
-// gateSilent reports whether a gate of j was not heard lately enough for j to get leases.
+// gateSilent reports whether a gate of j has been silent for too long for j to get leases.
 func (p *Pool) gateSilent(now time.Time, j *jobState) bool {
 	return p.config.GateContact != nil && now.Sub(j.gate.HeardAt) > maxLeaseSilence
 }
--- a/internal/pool/gates_test.go
+++ b/internal/pool/gates_test.go
@@ -37,7 +37,7 @@
 // lose records that the gate of a job was lost at a time that may be past.
 func (m *gateMoves) lose(at time.Time, pool int, id job.ID) { m.leftAt[gateOfJob{pool, id}] = at }
 
-// contact returns what a dispatcher knows of the gate of a job.
+// contact returns the contact of a dispatcher with the gate of a job.
 func (m *gateMoves) contact(now time.Time, pool int, id job.ID) GateContact {
 	if at, left := m.leftAt[gateOfJob{pool, id}]; left {
 		now = at
@@ -73,14 +73,14 @@
 func TestLeaseEndsBeforeCallerRetries(t *testing.T) {
 	slowest := worker.LapsedBy(time.Time{}, leaseDuration).Sub(time.Time{})
 	if longest := maxLeaseSilence + slowest; longest >= callerRetryDelay {
-		t.Errorf("a run may go on for %s after its gate was last heard, its caller is back after %s", longest, callerRetryDelay)
+		t.Errorf("a run may last for %s after the last message of its gate, its caller submits the job again after %s", longest, callerRetryDelay)
 	}
 	if MaxGateSilence >= maxLeaseSilence+leaseDuration {
 		t.Errorf("the jobs of a silent gate are withdrawn after %s, when leases have lapsed", MaxGateSilence)
 	}
 }
 
-// TestRunOfSilentGateGetsNoLease: a dispatcher extended the leases of a job whose gate had moved on to the
+// TestRunOfSilentGateGetsNoLease: a dispatcher extended the leases of a job that its gate had forwarded to the
 // next one until the caller's deadline (issue 50).
 func TestRunOfSilentGateGetsNoLease(t *testing.T) {
 	var heardAt time.Time
@@ -119,7 +119,7 @@
 		name      string
 		confirmed bool // the gate is known to have stayed
 		starts    int
-	}{{"the gate may have moved on", false, 0}, {"the gate has stayed", true, 1}} {
+	}{{"the gate may have forwarded the job", false, 0}, {"the gate has not forwarded the job", true, 1}} {
 		startedAt := time.Time{}
 		h := watchedHarness(t, 2, func(now time.Time) GateContact {
 			if c.confirmed {
@@ -205,8 +205,8 @@
 	}
 }
 
-// TestForwardedJobWaitsAfterDivision: a gate heard of a division late; the job that it forwarded was still
-// running on a worker of another group, under a dispatcher that had not heard of the division.
+// TestForwardedJobWaitsAfterDivision: a gate received a division late; the job that it forwarded was still
+// running on a worker of another group, under a dispatcher that had not received the division.
 func TestForwardedJobWaitsAfterDivision(t *testing.T) {
 	h := newHarness(t, 1)
 	h.pool.config.DividedAt = h.now
@@ -233,9 +233,9 @@
 		stays time.Duration // that the gate is known to have stayed after it forwarded the job
 		start time.Duration // after the forward; 0 stands for none
 	}{
-		{"the gate may have moved on at once", 0, 0},
-		{"the gate may have moved on before the leases were over", callerRetryDelay - 5*time.Millisecond, 0},
-		{"the gate has stayed until the leases were over", callerRetryDelay, callerRetryDelay},
+		{"the gate may have forwarded it again at once", 0, 0},
+		{"the gate may have forwarded it again before the leases expired", callerRetryDelay - 5*time.Millisecond, 0},
+		{"the gate had not forwarded it again when the leases expired", callerRetryDelay, callerRetryDelay},
 	} {
 		h, _ := takeOver(t)
 		h.advance(2 * recoveryDelay)
--- a/internal/pool/offload_schedule_test.go
+++ b/internal/pool/offload_schedule_test.go
@@ -91,7 +91,7 @@
 	sim.pools[sim.groups[g]].Submit(sim.now, r)
 }
 
-// contact returns what the dispatcher of a group knows of the gate of a job.
+// contact returns the contact of a group's dispatcher with the gate of a job.
 func (o *offloads) contact(sim *simulation, now time.Time, pool int, id job.ID) GateContact {
 	if o.gateLost[id] && pool == sim.groups[o.at[id]] {
 		now = o.lastPing[id]
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -63,8 +63,8 @@
 	// LateStarts has the starts without a reply, also those of earlier dispatchers; nil means
 	// none. The Pool adds to it.
 	LateStarts *latestart.Log
-	// GateContact returns what is known of the gates that wait for an admission. Nil stands for gates that are
-	// heard all the time.
+	// GateContact returns the contact with the gates that wait for an admission. Nil stands for uninterrupted
+	// contact.
 	GateContact func(now time.Time, a Admission) GateContact
 }
 
--- a/internal/pool/predecessor_test.go
+++ b/internal/pool/predecessor_test.go
@@ -12,8 +12,8 @@
 // successors do not reach.
 type predecessors struct {
 	r       *rand.Rand
-	longest time.Duration // that a replaced dispatcher goes on
-	// lateGates has gates hear of the successor up to longest after its takeover.
+	longest time.Duration // that a replaced dispatcher continues
+	// lateGates has gates learn of the successor up to longest after its takeover.
 	lateGates bool
 }
 
@@ -50,7 +50,7 @@
 	}
 }
 
-// TestNoTaskRunsTwiceUnderLastingPredecessor: a dispatcher that is cut off from the other entry VMs only goes on for
+// TestNoTaskRunsTwiceUnderLastingPredecessor: a dispatcher that is cut off from the other entry VMs only continues for
 // seconds, and the gates of some of its jobs are lost (issue 50).
 func TestNoTaskRunsTwiceUnderLastingPredecessor(t *testing.T) {
 	t.Parallel()
@@ -61,7 +61,7 @@
 	})
 }
 
-// TestNoTaskRunsTwiceWhenGatesFollowLate: gates hear of a takeover up to 2 s late, and forward their jobs
+// TestNoTaskRunsTwiceWhenGatesFollowLate: gates learn of a takeover up to 2 s late, and forward their jobs
 // when the next dispatcher starts others already (issue 50).
 func TestNoTaskRunsTwiceWhenGatesFollowLate(t *testing.T) {
 	t.Parallel()
@@ -75,13 +75,13 @@
 // combinedSteps keeps the run time of the combined schedules low.
 const combinedSteps = 1500
 
-// TestNoTaskRunsTwiceUnderPredecessorAndMore combines dispatchers that go on after they were replaced with what
+// TestNoTaskRunsTwiceUnderPredecessorAndMore combines replaced dispatchers that continue with what
 // other schedules draw.
 func TestNoTaskRunsTwiceUnderPredecessorAndMore(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
 		name    string
-		longest time.Duration // that a replaced dispatcher goes on
+		longest time.Duration // that a replaced dispatcher continues
 		add     func(sim *simulation, seed uint64)
 	}{
 		{"workers are unknown for some time", time.Second, func(sim *simulation, seed uint64) {
@@ -89,7 +89,7 @@
 		}},
 		{"workers leave", time.Second, (*simulation).addDepartures},
 		{"clocks are set back", time.Second, (*simulation).setClocksBack},
-		{"a third dispatcher takes over while the first goes on", 3 * time.Second, func(sim *simulation, _ uint64) {
+		{"a third dispatcher takes over while the first continues", 3 * time.Second, func(sim *simulation, _ uint64) {
 			sim.handovers.gapRange = 300 * time.Millisecond
 		}},
 		{"gates are lost, others follow late", 2 * time.Second, func(sim *simulation, seed uint64) {
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -30,13 +30,13 @@
 	return p.config.WorkersIncomplete || p.anyUnlisted(now)
 }
 
-// mayRunInOtherGroups reports whether a job that a gate forwards may be running on a worker that belongs to another group
-// since the last division, under a dispatcher that has not heard of it.
+// mayRunInOtherGroups reports whether a forwarded job may be running on a worker that the last division moved to
+// another group, under a dispatcher that has not received that division.
 func (p *Pool) mayRunInOtherGroups(now time.Time) bool {
 	return now.Sub(p.config.DividedAt) < divisionSpreadTime
 }
 
-// divisionSpreadTime is how long after a division some VM may not know of it: longer than the partitions that the
+// divisionSpreadTime bounds the time until all VMs have received a division: longer than the partitions that the
 // platform states.
 const divisionSpreadTime = 30 * time.Second
 
@@ -50,15 +50,15 @@
 	return j.mayHaveStarted || p.mayHaveUnknownRuns(now)
 }
 
-// recordForward records that a gate has just forwarded j from another dispatcher, which may go on
-// until its leases are over.
+// recordForward records that a gate has just forwarded j from another dispatcher, whose runs of j may
+// continue until their leases expire.
 func (p *Pool) recordForward(now time.Time, j *jobState) {
 	j.MayBeRunning, j.mayHaveStarted = true, true
 	j.mayRunUntil = later(now.Add(callerRetryDelay), p.startedAt.Add(recoveryDelay))
 }
 
-// earlierRunsOver reports whether no run of j that an earlier dispatcher ordered goes on, whether or not a worker has
-// listed it. A later dispatcher to which a gate forwarded j before mayRunUntil may have extended it.
+// earlierRunsOver reports whether all runs of j that earlier dispatchers ordered have ended, including those that no
+// worker has listed. A later dispatcher to which a gate forwarded j before mayRunUntil may have extended it.
 func (j *jobState) earlierRunsOver(now time.Time) bool {
 	return !now.Before(j.mayRunUntil) && !j.gate.ConfirmedAt.Before(j.mayRunUntil)
 }
--- a/internal/pool/takeover_test.go
+++ b/internal/pool/takeover_test.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// TestForwardedJobWaitsForPredecessor: a gate heard of a takeover late and forwarded a job that the earlier
+// TestForwardedJobWaitsForPredecessor: a gate learned of a takeover late and forwarded a job that the earlier
 // dispatcher was running on a worker that only it reached; the next one started the job at once (issue 50).
 func TestForwardedJobWaitsForPredecessor(t *testing.T) {
 	for _, listed := range []bool{true, false} {
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -55,7 +55,7 @@
 // heartbeat returns a heartbeat for another entry VM.
 func (g *Group) heartbeat(to vm.ID) heartbeat {
 	now := time.Now()
-	echo := g.signs.newestOf(to) // before the directory: the claims are to be as new as the echo says
+	echo := g.contacts.newestOf(to) // before the directory: the claims are to be as new as the echo says
 	d := g.directory.Load()
 	hb := heartbeat{Self: g.config.Knowledge.Self(), Division: d.division, WorkersIncomplete: g.workersIncomplete(now), Made: g.stampFor(to, now), Echo: echo}
 	if at := g.workerNewsAt(); !at.IsZero() {
@@ -194,7 +194,7 @@
 func (g *Group) receiveHeartbeat(ctx context.Context, hb heartbeat) {
 	now := time.Now()
 	g.recordExchange(now, hb.Self.VM)
-	g.signs.record(now, process{hb.Self.VM, hb.Self.Incarnation}, hb.Made)
+	g.contacts.record(now, process{hb.Self.VM, hb.Self.Incarnation}, hb.Made)
 	g.config.Knowledge.ObserveVM(now, hb.Self, 0)
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.applyHeartbeat(now, hb) })
 	g.config.Syncer.TableAnnounced(ctx, hb.Self.VM, hb.Version)
@@ -229,6 +229,6 @@
 		if hb.Made == (stamp{}) {
 			after = now // of a build that sends no stamps
 		}
-		g.signs.confirm(process{hb.Self.VM, hb.Self.Incarnation}, after)
+		g.contacts.confirm(process{hb.Self.VM, hb.Self.Incarnation}, after)
 	}
 }
--- a/tamarackpin/internal/group/exchange_test.go
+++ b/tamarackpin/internal/group/exchange_test.go
@@ -62,10 +62,10 @@
 	deliver := func(from, to *Group) {
 		hb := from.heartbeat(to.self.VM)
 		hb.Made = from.stampAt(time.Now()) // as in a reply
-		to.signs.record(time.Now(), process{from.self.VM, from.self.Incarnation}, hb.Made)
+		to.contacts.record(time.Now(), process{from.self.VM, from.self.Incarnation}, hb.Made)
 		to.applyHeartbeat(time.Now(), hb)
 	}
-	confirmedAt := func() time.Time { return leading.signs.of(process{gate.self.VM, gate.self.Incarnation}).confirmedAt }
+	confirmedAt := func() time.Time { return leading.contacts.of(process{gate.self.VM, gate.self.Incarnation}).confirmedAt }
 	deliver(gate, leading)
 	if at := confirmedAt(); !at.IsZero() {
 		t.Errorf("before any heartbeat of its own the gate is confirmed at %s", at)
@@ -78,6 +78,10 @@
 	if late := confirmedAt().Sub(sentAt); late < -2*time.Millisecond || late > 20*time.Millisecond {
 		t.Errorf("the gate is confirmed %s after the heartbeat that it had received", late)
 	}
+	c := leading.contactOf(time.Now(), Ticket{gate.self.VM, gate.self.Incarnation, 1})
+	if c.ConfirmedAt != confirmedAt() || !c.ConfirmedAt.Before(c.HeardAt) {
+		t.Errorf("the gate's contact is %+v, want it confirmed at %s, before its newest message", c, confirmedAt())
+	}
 	before := confirmedAt()
 	delayed.Echo.Incarnation++
 	delayed.Echo.Age *= 2
--- a/tamarackpin/internal/group/forward_test.go
+++ b/tamarackpin/internal/group/forward_test.go
@@ -9,24 +9,24 @@
 )
 
 // TestJobOfSilentGateIsWithdrawn guards against a job that runs twice: when its gate becomes unreachable, the
-// dispatcher must withdraw it before the caller retries, but not while the gate is heard: by pings of one that
+// dispatcher must withdraw it before the caller retries, but not while messages of the gate arrive: pings of one that
 // offloaded the job here, or by heartbeats (issue 10, recorded incident inc-9a18 of bunkerline; issue 50).
 func TestJobOfSilentGateIsWithdrawn(t *testing.T) {
 	const callerRetryDelay = 1300 * time.Millisecond
 	const gate = "ip-0a000002"
 	gateStartedAt := time.Now().Add(-time.Minute)
-	for name, sign := range map[string]func(g *Group, at time.Time){
+	for name, send := range map[string]func(g *Group, at time.Time){
 		"pings": func(g *Group, _ time.Time) {
 			_, _ = g.servePing(t.Context(), gate, ping{stamp{1, wire.Duration(time.Since(gateStartedAt))}})
 		},
 		"heartbeats": func(g *Group, at time.Time) {
-			g.signs.record(at, process{gate, 1}, stamp{1, wire.Duration(at.Sub(gateStartedAt))})
+			g.contacts.record(at, process{gate, 1}, stamp{1, wire.Duration(at.Sub(gateStartedAt))})
 		},
 	} {
 		g, _ := newLeadingGroup(t)
 		g.addWorker(t, "w1")
 		now := time.Now()
-		sign(g, now)
+		send(g, now)
 		results := make(chan result, 1)
 		g.admit(now, forwardRequest{Ticket{gate, 1, 1}, 0, 0, oneTask("j", time.Second), stamp{}}, results)
 		pending := func() bool {
@@ -36,7 +36,7 @@
 		for range 10 {
 			now = now.Add(150 * time.Millisecond)
 			time.Sleep(time.Until(now)) // pings are recorded at the time of day
-			sign(g, now)
+			send(g, now)
 			if g.withdrawLost(now); !pending() {
 				t.Fatalf("%s: withdrawn although they arrived", name)
 			}
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -78,7 +78,7 @@
 	answerMu    sync.Mutex          // guards lastAnswers
 	lastAnswers map[vm.ID]time.Time // of jobs forwarded to other VMs as leaders
 
-	signs signsOfLife
+	contacts lastContacts
 
 	// startedAt is when the process started; workersCompleteAt is the time of the news of workers that were last
 	// fetched from a VM that knows all of them, nil if never.
@@ -219,7 +219,7 @@
 		g.redivide(now)
 		g.crashes.Expire(now)
 		g.lateStarts.Expire(now)
-		g.signs.expire(now)
+		g.contacts.expire(now)
 	}
 	if !late { // after a delay of this process, messages of the gates may wait unread
 		g.withdrawLost(now)
--- a/tamarackpin/internal/group/last_contact.go
+++ b/tamarackpin/internal/group/last_contact.go
@@ -13,11 +13,11 @@
 	"tamarackpin.example/internal/wire"
 )
 
-// signsOfLife holds what the messages of other processes show of them. The zero value has none. It is safe for
-// concurrent use.
-type signsOfLife struct {
+// lastContacts holds the last contact with other processes. The zero value has none. It is safe for concurrent
+// use.
+type lastContacts struct {
 	mu        sync.Mutex // guards the fields below
-	processes map[process]signOfLife
+	processes map[process]lastContact
 	newest    map[vm.ID]stamp // of the newest message of each VM
 }
 
@@ -27,8 +27,8 @@
 	incarnation vm.Incarnation
 }
 
-// signOfLife is what the messages of one process show.
-type signOfLife struct {
+// lastContact is the last contact with one process.
+type lastContact struct {
 	heardAt time.Time // when it sent the newest message that arrived
 	// confirmedAt is a time after which it made a heartbeat whose claims this VM knows; zero before the first.
 	confirmedAt time.Time
@@ -45,8 +45,8 @@
 const (
 	// maxClockDrift bounds the difference in rate of the steady clocks of two VMs.
 	maxClockDrift = 0.01
-	// signLifetime is how long the signs of a process that is not heard any more are kept.
-	signLifetime = time.Minute
+	// contactLifetime is how long the last contact with a process is kept.
+	contactLifetime = time.Minute
 )
 
 // stampAt returns the stamp of a message that is made now.
@@ -57,7 +57,7 @@
 // stampFor returns the stamp of a call that is made now. It is zero, and left out, until the VM has sent one: earlier
 // builds refuse calls with fields that they don't know. Replies always have one.
 func (g *Group) stampFor(to vm.ID, now time.Time) stamp {
-	if g.signs.newestOf(to) == (stamp{}) {
+	if g.contacts.newestOf(to) == (stamp{}) {
 		return stamp{}
 	}
 	return g.stampAt(now)
@@ -71,22 +71,22 @@
 	return g.startedAt.Add(s.Age.Std())
 }
 
-func (s *signsOfLife) update(p process, f func(*signOfLife)) {
+func (s *lastContacts) update(p process, f func(*lastContact)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.processes == nil {
-		s.processes, s.newest = make(map[process]signOfLife), make(map[vm.ID]stamp)
+		s.processes, s.newest = make(map[process]lastContact), make(map[vm.ID]stamp)
 	}
 	v := s.processes[p]
 	f(&v)
 	s.processes[p] = v
 }
 
-// record records a message that arrives now. It counts as of when it was made, which is estimated by the
-// least delayed message of that process, and returned. One without a stamp, of an earlier build, counts as of its arrival.
-func (s *signsOfLife) record(now time.Time, p process, made stamp) (sentAt time.Time) {
+// record records a message that arrives now, and returns when it was made, as estimated from the least delayed message of
+// that process. For a message without a stamp, of an earlier build, that is its arrival.
+func (s *lastContacts) record(now time.Time, p process, made stamp) (sentAt time.Time) {
 	sentAt = now
-	s.update(p, func(v *signOfLife) {
+	s.update(p, func(v *lastContact) {
 		if made != (stamp{}) {
 			startedAt := now.Add(-made.Age.Std())
 			if v.startedAt.IsZero() {
@@ -112,52 +112,53 @@
 }
 
 // confirm records that a heartbeat whose claims are known was made after the given time.
-func (s *signsOfLife) confirm(p process, after time.Time) {
-	s.update(p, func(v *signOfLife) {
+func (s *lastContacts) confirm(p process, after time.Time) {
+	s.update(p, func(v *lastContact) {
 		if after.After(v.confirmedAt) {
 			v.confirmedAt = after
 		}
 	})
 }
 
-// of returns what the messages of a process show.
-func (s *signsOfLife) of(p process) signOfLife {
+// of returns the last contact with a process.
+func (s *lastContacts) of(p process) lastContact {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.processes[p]
 }
 
 // newestOf returns the stamp of the newest message of a VM.
-func (s *signsOfLife) newestOf(id vm.ID) stamp {
+func (s *lastContacts) newestOf(id vm.ID) stamp {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.newest[id]
 }
 
-// expire drops the processes without a message for signLifetime.
-func (s *signsOfLife) expire(now time.Time) {
+// expire drops the processes without a message for contactLifetime.
+func (s *lastContacts) expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	maps.DeleteFunc(s.processes, func(_ process, v signOfLife) bool { return now.Sub(v.arrivedAt) > signLifetime })
+	maps.DeleteFunc(s.processes, func(_ process, v lastContact) bool { return now.Sub(v.arrivedAt) > contactLifetime })
 }
 
-// contactOf returns what is known of the process that made a ticket. A gate of another failure domain sends
-// no heartbeats; it offloads a job to one group only.
+// contactOf returns the contact with the process that made a ticket. A gate of another failure domain sends pings and
+// no heartbeats, so it is never confirmed; it offloads a job to one group only.
 func (g *Group) contactOf(now time.Time, t Ticket) pool.GateContact {
 	if t.Gate == g.self.VM {
 		return pool.GateContact{HeardAt: now, ConfirmedAt: now}
 	}
-	sign := g.signs.of(t.process())
-	if unstamped := g.signs.of(process{vm: t.Gate}); unstamped.heardAt.After(sign.heardAt) {
-		sign.heardAt = unstamped.heardAt // by a ping of an earlier build
+	last := g.contacts.of(t.process())
+	if unstamped := g.contacts.of(process{vm: t.Gate}); unstamped.heardAt.After(last.heardAt) {
+		last.heardAt = unstamped.heardAt // by a ping of an earlier build
 	}
-	if sign.confirmedAt.IsZero() {
-		sign.confirmedAt = sign.heardAt
+	if last.confirmedAt.IsZero() {
+		last.confirmedAt = last.heardAt
 	}
-	return pool.GateContact{HeardAt: sign.heardAt, ConfirmedAt: sign.confirmedAt}
+	return pool.GateContact{HeardAt: last.heardAt, ConfirmedAt: last.confirmedAt}
 }
 
-// gateContact returns what is known of the gates that wait for an admission: of the one that is known least of.
+// gateContact returns the contact with the gates that wait for an admission; with several, each field is that of the gate
+// with the earliest time.
 func (g *Group) gateContact(now time.Time, waiters []waiter) pool.GateContact {
 	var c pool.GateContact
 	for i, w := range waiters {
@@ -185,6 +186,6 @@
 	}
 	for p, jobs := range lost {
 		event.Log(g.config.Log, event.GateLost, zap.String("gate", string(p.vm)), zap.Int64("incarnation", int64(p.incarnation)), zap.Int("jobs", jobs),
-			zap.Duration("silence", now.Sub(g.signs.of(p).heardAt)))
+			zap.Duration("silence", now.Sub(g.contacts.of(p).heardAt)))
 	}
 }
--- a/tamarackpin/internal/group/last_contact_test.go
+++ b/tamarackpin/internal/group/last_contact_test.go
@@ -16,7 +16,7 @@
 // gate that had been lost meanwhile.
 func TestDelayedMessageCountsAsOfItsSending(t *testing.T) {
 	gateStartedAt := time.Now()
-	var s signsOfLife
+	var s lastContacts
 	p := process{"ip-0a000002", 7}
 	arrive := func(sentAfter, delay time.Duration) time.Duration {
 		s.record(gateStartedAt.Add(sentAfter+delay), p, stamp{7, wire.Duration(sentAfter)})
@@ -25,14 +25,14 @@
 	for i := range 10 {
 		sentAfter := time.Duration(i) * 150 * time.Millisecond
 		if at := arrive(sentAfter, 5*time.Millisecond); at < sentAfter || at > sentAfter+10*time.Millisecond {
-			t.Errorf("sent after %s, counts as of %s", sentAfter, at)
+			t.Errorf("sent after %s, recorded as sent after %s", sentAfter, at)
 		}
 	}
 	const sentAfter = 1500 * time.Millisecond
 	if at := arrive(sentAfter, 400*time.Millisecond); at < sentAfter || at > sentAfter+20*time.Millisecond {
-		t.Errorf("sent after %s and delayed by 0.4 s, counts as of %s", sentAfter, at)
+		t.Errorf("sent after %s and delayed by 0.4 s, recorded as sent after %s", sentAfter, at)
 	}
-	s.expire(gateStartedAt.Add(2 * signLifetime))
+	s.expire(gateStartedAt.Add(2 * contactLifetime))
 	if len(s.processes) > 0 {
 		t.Errorf("%d processes are kept", len(s.processes))
 	}
@@ -43,8 +43,8 @@
 func TestJobOfRestartedGateIsNotVouchedFor(t *testing.T) {
 	g, _, _ := newTestGroup("ip-0a000001", time.Now(), nil)
 	now := time.Now()
-	g.signs.record(now.Add(-2*time.Second), process{"ip-0a000002", 7}, stamp{})
-	g.signs.record(now, process{"ip-0a000002", 5}, stamp{})
+	g.contacts.record(now.Add(-2*time.Second), process{"ip-0a000002", 7}, stamp{})
+	g.contacts.record(now, process{"ip-0a000002", 5}, stamp{})
 	if c := g.contactOf(now, Ticket{"ip-0a000002", 7, 1}); now.Sub(c.HeardAt) < 2*time.Second || now.Sub(c.ConfirmedAt) < 2*time.Second {
 		t.Errorf("the gate's earlier process: %+v at %s", c, now)
 	}
@@ -65,7 +65,7 @@
 		{2, stamp{}, true}, // made before it knew this VM
 		{3, stamp{}, false},
 	} {
-		g.signs.record(now, process{other, c.incarnation}, c.made)
+		g.contacts.record(now, process{other, c.incarnation}, c.made)
 		hb := g.heartbeat(other)
 		if stamped := hb.Made != (stamp{}); stamped != c.stamped || hb.Echo != (stamp{}) != c.stamped {
 			t.Errorf("message %d: the next heartbeat has the stamps %+v and %+v, want some: %v", i, hb.Made, hb.Echo, c.stamped)
@@ -80,7 +80,7 @@
 	g.addWorker(t, "w1")
 	gate, _, _ := newTestGroup("ip-0a000002", time.Now().Add(-time.Minute), nil)
 	ticket, made := Ticket{gate.self.VM, gate.self.Incarnation, 1}, gate.stampAt(time.Now())
-	g.signs.record(time.Now(), ticket.process(), made)
+	g.contacts.record(time.Now(), ticket.process(), made)
 	made.Age -= wire.Duration(pool.MaxGateSilence)
 	replies := make(chan forwardReply, 1)
 	go func() {
@@ -99,7 +99,7 @@
 }
 
 // TestLeasesEndWithHeartbeatsOfGate runs the whole path: the leases of a job are extended as long as heartbeats of its
-// gate arrive, and the job is withdrawn when they don't; that of the VM's own gate goes on.
+// gate arrive, and the job is withdrawn when they don't; that of the VM's own gate continues.
 func TestLeasesEndWithHeartbeatsOfGate(t *testing.T) {
 	g, _ := newLeadingGroup(t)
 	lease := make(map[worker.ID]time.Time) // when the newest one was asked for
--- a/tamarackpin/internal/group/offload.go
+++ b/tamarackpin/internal/group/offload.go
@@ -117,7 +117,7 @@
 			return // the missing reply counts
 		}
 		if reply.Made != (stamp{}) {
-			g.signs.record(time.Now(), process{id, reply.Made.Incarnation}, reply.Made)
+			g.contacts.record(time.Now(), process{id, reply.Made.Incarnation}, reply.Made)
 		}
 		mu.Lock()
 		defer mu.Unlock()
@@ -145,6 +145,6 @@
 
 // servePing records a ping of a gate that has a job offloaded here.
 func (g *Group) servePing(_ context.Context, from vm.ID, p ping) (ping, error) {
-	g.signs.record(time.Now(), process{from, p.Made.Incarnation}, p.Made)
+	g.contacts.record(time.Now(), process{from, p.Made.Incarnation}, p.Made)
 	return ping{g.stampAt(time.Now())}, nil
 }
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -54,7 +54,7 @@
 	Made    stamp        `json:"made,omitzero"`
 }
 
-// ping is a sign of life of a gate that has offloaded jobs, and the reply to one.
+// ping is a heartbeat of a gate that has offloaded jobs, and the reply to one.
 type ping struct {
 	Made stamp `json:"made,omitzero"`
 }
@@ -108,7 +108,7 @@
 // withdrawn and the error has [code.Cancelled].
 func (g *Group) runJob(ctx context.Context, req forwardRequest) (forwardReply, error) {
 	now := time.Now()
-	if sentAt := g.signs.record(now, req.Ticket.process(), req.Made); now.Sub(sentAt) >= pool.MaxGateSilence {
+	if sentAt := g.contacts.record(now, req.Ticket.process(), req.Made); now.Sub(sentAt) >= pool.MaxGateSilence {
 		return forwardReply{}, nil // the gate may have given it up; if not, it forwards it again
 	}
 	done := make(chan result, 1)
@@ -180,7 +180,7 @@
 	}
 	g.logReforwarded(s, req)
 	if g.contactOf(now, req.Ticket).HeardAt.IsZero() {
-		g.signs.record(now, req.Ticket.process(), stamp{})
+		g.contacts.record(now, req.Ticket.process(), stamp{})
 	}
 	req.Request.GateHeardAt = g.contactOf(now, req.Ticket).HeardAt
 	s.submit(now, req.Request, waiter{req.Ticket, done})
