Log the ends that a completed job was counted from

An on-call engineer couldn't tell from the logs which ends a dispatcher had counted for a job, nor in which state a task was when a run of it was found. Event 821 has a row for each task of a completed job (phase, run, and the worker, incarnation and number of the end); 817 has task_phase.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -68,6 +68,7 @@
 	RunsListed        ID = 818
 	StartUnlisted     ID = 819
 	GateLost          ID = 820
+	JobCompleted      ID = 821
 )
 
 // Entry describes one event.
@@ -128,10 +129,11 @@
 	{OffloadSilent, zapcore.WarnLevel, "VM with offloaded jobs silent", "A VM that runs offloaded jobs of this VM's callers replied to no ping for `timeout`; the jobs are given up (504). It has withdrawn them by then."},
 	{WorkerLost, zapcore.WarnLevel, "worker lost under a task", "The worker was lost with this task; `evidence` tells whether it crashed (refused: its host refuses connections; restarted: a later incarnation was seen), was only silent (survived), or neither is known yet (silent). Many lines for one task say that it crashes its workers; many tasks on one worker, that the worker is at fault."},
 	{StartUnanswered, zapcore.WarnLevel, "start without a reply", "The worker may carry it out until 13.5 s after it was sent, in this incarnation or a later one of its name; the task starts on no other worker before."},
-	{RunFound, zapcore.WarnLevel, "run found that was not ordered", "The worker lists a run that this dispatcher did not order there: one of the dispatcher before, or a late start. With `assigned_to` the task is on another worker as well: look for event 816 of the task, and at the incarnation. Report it."},
+	{RunFound, zapcore.WarnLevel, "run found that was not ordered", "The worker lists a run that this dispatcher did not order there: one of the dispatcher before, or a late start. With `assigned_to` the task is on another worker as well: look for event 816 of the task, and at the incarnation. `task_phase` is what the dispatcher took the task for. Report it."},
 	{RunsListed, zapcore.InfoLevel, "runs of earlier dispatchers known", "Written once after a takeover: every worker has listed its runs, or `unlisted` names those that have not (of `unlisted_count`, at most eight) and the leases of the earlier dispatchers are over. `workers_incomplete` says that this VM may not know all workers."},
 	{StartUnlisted, zapcore.WarnLevel, "job started before all workers listed their runs", "After a takeover the dispatcher ordered a task while the workers in `unlisted` had not listed their runs. If one of them runs the same task, 817 names it."},
 	{GateLost, zapcore.WarnLevel, "jobs of a silent gate withdrawn", "The dispatcher received no message of a gate for `silence` and withdrew its jobs, `jobs` of them. The gate may have forwarded them to another dispatcher, or their callers submit them again."},
+	{JobCompleted, zapcore.InfoLevel, "job completed by its dispatcher", "`ends` has a row for each of its `tasks`, at most 16: its phase, run, and the end that was counted for it, by worker, incarnation and number of the end. A row whose phase is not finished, or without a worker, is a fault. Report it."},
 }
 
 var byID = func() map[ID]Entry {
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -164,6 +164,11 @@
 	if a.Outcome == job.NotRun && p.hasLateStart(now, j) { // reported by another dispatcher meanwhile
 		a = Answer{Admission: j.admission, Outcome: job.Abandoned, Reason: a.Reason}
 	}
+	if a.Outcome == job.Completed {
+		for _, t := range j.tasks {
+			a.Tasks = append(a.Tasks, t.record())
+		}
+	}
 	p.answers = append(p.answers, a)
 	if a.Outcome == job.Abandoned {
 		p.reportLateStarts(now, j)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -168,6 +168,7 @@
 	Worker        worker.ID
 	Incarnation   worker.Incarnation
 	AssignedTo    worker.ID     // worker on which this Pool has the task; empty if none
+	TaskPhase     string        // phase that the task had; empty if this Pool does not have its job
 	KnownFor      time.Duration // how long this Pool has known the worker
 	SinceTakeover time.Duration
 }
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -153,18 +153,27 @@
 // recordFound records a run that w lists and that is not assigned to it.
 func (p *Pool) recordFound(now time.Time, w *workerState, row RunningTask) {
 	f := FoundRun{Task: row.Task, Run: row.Run, Worker: w.Worker, Incarnation: w.Incarnation, KnownFor: now.Sub(w.knownSince), SinceTakeover: now.Sub(p.startedAt)}
-	if other := p.assignment(row.Task); other != nil {
-		f.AssignedTo = other.Worker
+	if t := p.task(row.Task); t != nil {
+		f.TaskPhase = t.phase.String()
+		if t.worker != nil {
+			f.AssignedTo = t.worker.Worker
+		}
 	}
 	p.found = append(p.found, f)
 }
 
+// task returns the task of a job of this Pool by its name, or nil if there is none.
+func (p *Pool) task(name job.Task) *task {
+	if j := p.jobs[name.Job]; j != nil {
+		return j.task(name)
+	}
+	return nil
+}
+
 // assignment returns the worker that has a task, or nil if none has.
 func (p *Pool) assignment(name job.Task) *workerState {
-	if j := p.jobs[name.Job]; j != nil {
-		if t := j.task(name); t != nil {
-			return t.worker
-		}
+	if t := p.task(name); t != nil {
+		return t.worker
 	}
 	return nil
 }
@@ -193,6 +202,7 @@
 		p.Counts.Done++
 		w.failures, w.stalls = 0, 0
 		t.phase = finished
+		t.doneOn, t.doneOnIncarnation, t.endNumber = w.Worker, w.Incarnation, e.Number
 		// An adopted run (orderedAt is the takeover) has no known start to measure from.
 		if wasRunning && !t.ackedAt.IsZero() && orderedAt != p.startedAt {
 			p.estimator.Observe(j.Row, t.step, w.Kind, w.Worker, now.Sub(orderedAt))
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -53,6 +53,18 @@
 	RetryAfter   time.Duration // of a refused job: when the caller may try again
 	TryElsewhere bool          `json:"Elsewhere"` // of a refused job: another group may still meet the objective deadline
 	OffloadTo    Destination   `json:",omitzero"` // of a job with TryElsewhere: the group that may be running it since an earlier try; zero if none
+	Tasks        []TaskRecord  `json:"-"`         // of a completed job, for the log
+}
+
+// TaskRecord is the state of a task when its job was answered, and the end that was counted for it.
+type TaskRecord struct {
+	Step        int                `json:"step"`
+	Index       int                `json:"index"`
+	Phase       string             `json:"phase"`
+	Run         job.Run            `json:"run"`
+	Worker      worker.ID          `json:"worker"` // that listed the end; this and the next two are zero if none was counted
+	Incarnation worker.Incarnation `json:"incarnation"`
+	EndNumber   uint64             `json:"end"`
 }
 
 // Destination names a group that jobs are offloaded to.
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -22,6 +22,11 @@
 	finished              // done, or its job is closed; a failed run of an open job leads back to waiting
 )
 
+// String returns the name of a phase, for logs.
+func (ph phase) String() string {
+	return [...]string{"waiting", "starting", "running", "stopping", "in_doubt", "finished"}[ph]
+}
+
 // task is one task of a job, with its current run.
 type task struct {
 	name     job.Task
@@ -48,6 +53,19 @@
 	mayHaveStopped bool      // a stop was sent while nothing showed that its worker had crashed
 	stopAckedAt    time.Time // when the worker acknowledged a stop; zero before
 	lapsedAt       time.Time // when all leases of the newest run had lapsed, if that is all that is known of its end; see lapseProven
+
+	// The worker that listed the end that made the task done, and the number of that end.
+	doneOn            worker.ID
+	doneOnIncarnation worker.Incarnation
+	endNumber         uint64
+}
+
+// record returns the state of t for the log.
+func (t *task) record() TaskRecord {
+	return TaskRecord{
+		Step: t.name.Step, Index: t.name.Index, Phase: t.phase.String(), Run: t.run,
+		Worker: t.doneOn, Incarnation: t.doneOnIncarnation, EndNumber: t.endNumber,
+	}
 }
 
 // beginRun forgets what is known of the previous run of t.
--- a/tamarackpin/internal/group/log.go
+++ b/tamarackpin/internal/group/log.go
@@ -27,10 +27,15 @@
 		zap.Bool("may_run", req.Request.MayBeRunning), zap.Duration("age", req.Request.Age))
 }
 
-// logAnswers logs each refusal, and each answer that no gate waits for.
+// logAnswers logs each completed job with the ends that were counted for its tasks, each refusal,
+// and each answer that no gate waits for.
 func (g *Group) logAnswers(s *groupState, answers []pool.Answer) {
 	for _, a := range answers {
 		gates := len(s.waiters[a.Admission])
+		if a.Outcome == job.Completed {
+			event.Log(g.config.Log, event.JobCompleted, zap.String("job", string(a.Job)), zap.Int64("fence", int64(s.leadership.Claim().Fence)),
+				zap.Int("tasks", len(a.Tasks)), zap.Any("ends", a.Tasks[:min(len(a.Tasks), maxLoggedTasks)]))
+		}
 		fields := []zap.Field{
 			zap.String("job", string(a.Job)), zap.Int64("fence", int64(s.leadership.Claim().Fence)), zap.String("outcome", string(a.Outcome)),
 			zap.String("reason", a.Reason), zap.Bool("elsewhere", a.TryElsewhere), zap.Int("gates", gates),
@@ -44,6 +49,9 @@
 	}
 }
 
+// maxLoggedTasks bounds the tasks of a job in one line.
+const maxLoggedTasks = 16
+
 // logStarts logs each start order of the first task of a step, repeated runs included, and
 // every start order of a job that no gate waits for.
 func (g *Group) logStarts(now time.Time, s *groupState, orders []pool.Order) {
@@ -131,7 +139,7 @@
 		event.Log(g.config.Log, event.RunFound, zap.String("job", string(f.Task.Job)), zap.Int("step", f.Task.Step), zap.Int("index", f.Task.Index),
 			zap.Int("run", int(f.Run)), zap.String("worker", string(f.Worker)), zap.Int64("incarnation", int64(f.Incarnation)),
 			zap.Duration("worker_known_for", f.KnownFor), zap.Duration("after_takeover", f.SinceTakeover),
-			zap.String("assigned_to", string(f.AssignedTo)), zap.Int64("fence", int64(s.leadership.Claim().Fence)))
+			zap.String("assigned_to", string(f.AssignedTo)), zap.String("task_phase", f.TaskPhase), zap.Int64("fence", int64(s.leadership.Claim().Fence)))
 	}
 }
 
