A task that is done is not adopted again

Cause: Pool.adopt took the runs of all tasks without a worker, also of those that are done, which made them running again; the next end counted for another task of the job. A worker lists such a run when it carries out a start of an earlier dispatcher late, or when its list is older than the run's end. Change: only a waiting task adopts a run.

--- a/internal/pool/done_again_test.go
+++ b/internal/pool/done_again_test.go
@@ -57,7 +57,8 @@
 		}
 		return Reply{}
 	})
-	if _, answers := h.takePending(); len(answers) > 0 {
+	orders, answers := h.takePending()
+	if h.buffered = orders; len(answers) > 0 {
 		t.Fatalf("answered while a task runs: %+v", answers)
 	}
 	h.answerRenewals(func(o Order) Reply {
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// adopt assigns to j its tasks' orphan runs: those that workers list and that an
+// adopt assigns to j its waiting tasks' orphan runs: those that workers list and that an
 // earlier dispatcher started. They go on rather than start again.
 func (p *Pool) adopt(now time.Time, j *jobState) {
 	for _, w := range p.byID {
@@ -98,7 +98,7 @@
 		}
 		for _, t := range j.tasks {
 			run, found := w.orphans[t.name]
-			if !found || t.assigned() {
+			if !found || t.phase != waiting {
 				continue
 			}
 			delete(w.orphans, t.name)
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -144,7 +144,7 @@
 		}
 	}
 	for name, run := range w.orphans {
-		if p.stopsOrphans(now) || p.assignment(name) != nil {
+		if p.stopsOrphans(now) || p.isSuperseded(name) {
 			p.enqueueOrder(now, w, Order{Kind: StopOrder, Task: name, Run: run})
 		}
 	}
@@ -170,12 +170,10 @@
 	return nil
 }
 
-// assignment returns the worker that has a task, or nil if none has.
-func (p *Pool) assignment(name job.Task) *workerState {
-	if t := p.task(name); t != nil {
-		return t.worker
-	}
-	return nil
+// isSuperseded reports whether a task is done or on another worker, so that an orphan run of it is of no use.
+func (p *Pool) isSuperseded(name job.Task) bool {
+	t := p.task(name)
+	return t != nil && t.phase != waiting
 }
 
 // stopsOrphans reports whether orphan runs are stopped rather than left for their jobs.
