--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -205,8 +205,7 @@
 		if wasRunning && !t.ackedAt.IsZero() && orderedAt != p.startedAt {
 			p.estimator.Observe(j.Row, t.step, w.Kind, w.Worker, now.Sub(orderedAt))
 		}
-		j.remaining--
-		if j.remaining == 0 && !j.closed {
+		if !j.closed && j.done() {
 			p.answer(now, j, Answer{Outcome: job.Completed})
 		}
 	case e.Kind == EndedFailed:
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -106,7 +106,6 @@
 	objectiveDeadline time.Time     // objective deadline (SLO): arrivedAt, plus Stretch times the expected work, plus Latency
 	expectedWork      time.Duration // of the longest chain of steps, on a worker of factor 1
 	tasks             []*task
-	remaining         int         // number of tasks not done
 	mayHaveStarted    bool        // a task may have been started, here or by another dispatcher; it is not answered as not run then, see Pool.mayHaveStarted
 	expectedLate      bool        // expected to miss its objective deadline, given the work ahead of it; served after the others
 	closed            bool        // answered or withdrawn; its tasks may still be stopping
@@ -122,7 +121,6 @@
 			j.tasks = append(j.tasks, &task{name: job.Task{Job: j.Job.ID, Step: s, Index: i}, job: j, step: step})
 		}
 	}
-	j.remaining = len(j.tasks)
 }
 
 // task returns the task of j with a name, or nil if it has none.
@@ -137,7 +135,12 @@
 
 // begun reports whether a task of j is done or has a worker.
 func (j *jobState) begun() bool {
-	return j.remaining < len(j.tasks) || slices.ContainsFunc(j.tasks, (*task).assigned)
+	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.phase != waiting })
+}
+
+// done reports whether every task of j is done. j must not be closed.
+func (j *jobState) done() bool {
+	return !slices.ContainsFunc(j.tasks, func(t *task) bool { return t.phase != finished })
 }
 
 // stepReady reports whether every task of the steps that s depends on is done.
