Run numbers rise also after an adopted run

Cause: a waiting task that adopted a run of an earlier dispatcher took over its number, also a lower one than it had reached; its next start reused a number, so that late replies and ends of the first run of that number counted for the second. Change: a task keeps its highest run apart from the current one, and a closed job hands it on.

--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -81,7 +81,7 @@
 		if i >= len(j.tasks) || t.name != j.tasks[i].name {
 			return
 		}
-		j.tasks[i].run = t.run
+		j.tasks[i].lastRun = t.lastRun
 		if t.assigned() {
 			t.job, t.step = j, j.tasks[i].step
 			j.tasks[i] = t
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -118,7 +118,7 @@
 	}
 	switch r.Refusal {
 	case RefusedOld:
-		t.run++ // a run of this number ended there under another dispatcher
+		t.lastRun++ // a run of this number ended there under another dispatcher
 	case RefusedRoom:
 		w.roomRetryAt = now.Add(min(noRoomBackoff<<min(w.roomRefusals, 6), maxNoRoomBackoff))
 		w.roomRefusals++
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -271,7 +271,7 @@
 // startTask assigns t to w and orders a new run of it there.
 func (p *Pool) startTask(now time.Time, w *workerState, t *task) {
 	p.Counts.Started++
-	t.beginRun(now, max(t.run, p.lateStarts.HighestRun(t.name))+1)
+	t.beginRun(now, max(t.lastRun, p.lateStarts.HighestRun(t.name))+1)
 	t.phase = starting
 	t.job.mayHaveStarted = true
 	t.assign(w)
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -33,7 +33,8 @@
 	job      *jobState
 	step     *job.Step
 	phase    phase
-	run      job.Run // the newest run, from 1; tells late orders and ends of earlier runs apart
+	run      job.Run // the run that was ordered or adopted last, from 1; tells late orders and ends of other runs apart
+	lastRun  job.Run // the highest run; higher than run if that was adopted from an earlier dispatcher
 	failures int     // runs that ended as failed
 
 	lastFailedOn worker.ID // worker of the newest failed run
@@ -71,6 +72,7 @@
 // beginRun forgets what is known of the previous run of t.
 func (t *task) beginRun(orderedAt time.Time, run job.Run) {
 	t.run, t.orderedAt, t.startSentAt = run, orderedAt, orderedAt
+	t.lastRun = max(t.lastRun, run)
 	t.percent, t.progressAt, t.startInherited, t.mayHaveStopped = 0, orderedAt, false, false
 	t.ackedAt, t.lapsesAt, t.stoppingSince, t.stopSentAt, t.stopAckedAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	t.lapsedAt = time.Time{}
