--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,7 @@
 	TargetTrusted     ID = 404
 	WorkerAnnounced   ID = 405
 	WorkerRefused     ID = 406
+	ReplyOutdated     ID = 407
 	AnswerDiscarded   ID = 501
 	LedgerAssigned    ID = 601
 	LedgerTakenOver   ID = 602
@@ -102,6 +103,7 @@
 	{TargetTrusted, zapcore.InfoLevel, "target trusted again", "A probe succeeded."},
 	{WorkerAnnounced, zapcore.InfoLevel, "worker announced", "A worker said something new of itself: that it started, or that it leaves."},
 	{WorkerRefused, zapcore.WarnLevel, "worker refused", "Announcements were not used, the last for the reason in `error`; `count` says how many since the line before. Another program sends them, or a worker that the platform's pages don't describe."},
+	{ReplyOutdated, zapcore.WarnLevel, "reply of an earlier order", "A worker sent a second reply to an earlier order in place of the one to the order `call`. It shows in a reading of its clock that is `behind` that order (seconds), or in lists that a reply to a `call` has not, or lacks (`other_lists`). The connection was closed, and the order counts as unanswered; `count` is the number of such replies since the process started. If one worker does it often, look at it."},
 	{AnswerDiscarded, zapcore.WarnLevel, "answer discarded", "A target answered late, cut short or for other work. If one target does it often, look at it."},
 	{LedgerAssigned, zapcore.InfoLevel, "ledger assigned", "This entry VM holds a ledger in a new role."},
 	{LedgerTakenOver, zapcore.WarnLevel, "ledger taken over", "The primary was lost; this entry VM is primary now."},
