--- a/tamarackpin/internal/peer/peer_test.go
+++ b/tamarackpin/internal/peer/peer_test.go
@@ -445,3 +445,45 @@
 		t.Errorf("%d faults were logged, want 2", logs.Len())
 	}
 }
+
+// TestSecondReplyReachesNoOtherCall: a VM replies to each call twice, the second time while the next call waits.
+func TestSecondReplyReachesNoOtherCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		var last *jsonrpc2.Response
+		h := handlerFunc(func(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+			if last != nil {
+				_ = conn.SendResponse(ctx, last)
+				time.Sleep(5 * time.Millisecond)
+			}
+			last = &jsonrpc2.Response{ID: r.ID, Result: r.Params}
+			_ = conn.SendResponse(ctx, last)
+		})
+		<-jsonrpc2.NewConn(t.Context(), jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{}), h, jsonrpc2.SetLogger(discard{})).DisconnectNotify()
+	}()
+	m := &Mesh{Self: "vm0", Address: func(vm.ID) (string, bool) { return l.Addr().String(), true }, Recorder: &report.Recorder{}}
+	defer m.Close()
+	for i := range 20 {
+		want := fmt.Sprint(i)
+		got, err := Call[echoed](t.Context(), m, "vm1", report.UseOther, "echo", echoed{[]string{want}})
+		if err != nil || len(got.Texts) != 1 || got.Texts[0] != want {
+			t.Fatalf("call %d: %v, %v", i, got, err)
+		}
+	}
+}
+
+// handlerFunc is a [jsonrpc2.Handler].
+type handlerFunc func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request)
+
+// Handle calls f.
+func (f handlerFunc) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	f(ctx, conn, r)
+}
