A target's second answer costs one task

An answer carries the name of its task, so a second answer never counted for another task; but it was discarded without closing the connection, so that each further task there got the answer to the one before, and was given up. Callers of these tasks got bad_answer until the connection broke. Change: a connection on which the answer to another task came is closed.

--- a/tamarackpin/internal/targets/sender.go
+++ b/tamarackpin/internal/targets/sender.go
@@ -76,11 +76,22 @@
 // which no byte left can be told from one that may have arrived.
 type countedConn struct {
 	net.Conn
-	writes atomic.Int64
+	writes  atomic.Int64
+	retired atomic.Bool
+}
+
+// retire closes the connection. The transport may not have noticed when it takes it for the
+// next sending, of which nothing is written then.
+func (c *countedConn) retire() {
+	c.retired.Store(true)
+	_ = c.Close()
 }
 
 // Write counts before it writes.
 func (c *countedConn) Write(b []byte) (int, error) {
+	if c.retired.Load() {
+		return 0, net.ErrClosed
+	}
 	c.writes.Add(1)
 	return c.Conn.Write(b)
 }
@@ -158,7 +169,7 @@
 		return s.failed(ctx, w, f, err)
 	}
 	defer resp.Body.Close()
-	return s.answered(ctx, w, resp)
+	return s.answered(ctx, w, f, resp)
 }
 
 // failed judges a sending without an answer.
@@ -175,11 +186,15 @@
 }
 
 // answered checks that an answer is whole and belongs to the task.
-func (s *Sender) answered(ctx context.Context, w Sending, resp *http.Response) Result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, target.MaxAnswerBytes+1))
+func (s *Sender) answered(ctx context.Context, w Sending, f *flight, resp *http.Response) Result {
 	if resp.Header.Get(target.HeaderTask) != w.Name {
+		// The answer to this task would be taken for that to the next one.
+		if f.conn != nil {
+			f.conn.retire()
+		}
 		return s.discard(w, "it belongs to another task")
 	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, target.MaxAnswerBytes+1))
 	switch {
 	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return Result{Code: code.TimeLimit, Message: fmt.Sprintf("target %s did not finish its answer within %s", w.Lease.Target, w.Limit)}
--- a/tamarackpin/internal/targets/sender_test.go
+++ b/tamarackpin/internal/targets/sender_test.go
@@ -1,7 +1,9 @@
 package targets
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -136,3 +138,64 @@
 		t.Errorf("%d sendings were run %d times", sendings, n)
 	}
 }
+
+// TestSecondAnswerCostsOneTask: a target answered a task twice, and each further task on that connection had the
+// answer to the one before.
+func TestSecondAnswerCostsOneTask(t *testing.T) {
+	for _, status := range []string{"200 OK", "500 failed"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			stuttered := false // of all connections, which come one after the other
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				b := bufio.NewReader(c)
+				for last := ""; ; {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						break
+					}
+					body, _ := io.ReadAll(r.Body)
+					if !stuttered && last != "" { // the second answer to the task before
+						_, _ = io.WriteString(c, last)
+						time.Sleep(20 * time.Millisecond)
+						stuttered = true
+					}
+					if status != "200 OK" {
+						body = nil
+					}
+					last = fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", status, target.HeaderTask, r.Header.Get(target.HeaderTask), len(body), body)
+					_, _ = io.WriteString(c, last)
+				}
+				_ = c.Close()
+			}
+		}()
+		sender := NewSender(nil, &report.Recorder{}, zap.NewNop())
+		defer sender.Close()
+		var discarded []int
+		for i := range 6 {
+			w := sending(l.Addr().String(), time.Second)
+			w.Name = fmt.Sprintf("vm0-1-r%d", i)
+			w.Body = fmt.Appendf(nil, "%d", i)
+			r := sender.Send(t.Context(), w)
+			for r.Unrun { // the connection was closed, as the caller of Send can see
+				r = sender.Send(t.Context(), w)
+			}
+			if r.Code == code.OK && string(r.Answer) != string(w.Body) {
+				t.Errorf("task %d got the answer %s", i, r.Answer)
+			}
+			if r.Code != code.OK && r.Code != code.TargetFailed {
+				discarded = append(discarded, i)
+			}
+		}
+		if len(discarded) != 1 || discarded[0] != 1 {
+			t.Errorf("%s: the tasks %v had no answer of their own, want the second alone", status, discarded)
+		}
+	}
+}
