A target that is busy twice over runs a task once

A task that a busy target had sent back was sent again under the same name, so that the target's second answer to the first sending was taken for that to the next: it says that the task was not run, and the task was sent a third time while it ran. Change: the sendings of a ledger are numbered, as those of requests are; targets.Sending asks for a name unlike that of any other sending.

--- a/tamarackpin/internal/ledgers/host.go
+++ b/tamarackpin/internal/ledgers/host.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,6 +50,8 @@
 	config Config
 	ctx    context.Context // ends the goroutines
 	duties sync.WaitGroup
+	// sendings numbers the sendings of tasks to targets.
+	sendings atomic.Uint64
 
 	mu     sync.Mutex // guards copies; taken before that of a copy
 	copies map[submission.LedgerID]*hosted
--- a/tamarackpin/internal/ledgers/run.go
+++ b/tamarackpin/internal/ledgers/run.go
@@ -148,7 +148,7 @@
 	}
 	started := time.Now()
 	result := c.host.config.Sender.Send(context.WithoutCancel(c.host.ctx), targets.Sending{
-		Name:       fmt.Sprintf("%s-%d-s%d", c.host.config.Self.VM, c.host.config.Self.Incarnation, g.Task.ID),
+		Name:       fmt.Sprintf("%s-%d-s%d", c.host.config.Self.VM, c.host.config.Self.Incarnation, c.host.sendings.Add(1)),
 		Key:        g.Task.Key,
 		Lease:      g.Lease,
 		Submission: fmt.Sprintf("%s/%d", body.id, i),
--- a/tamarackpin/internal/ledgers/run_test.go
+++ b/tamarackpin/internal/ledgers/run_test.go
@@ -1,11 +1,15 @@
 package ledgers
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,3 +138,55 @@
 		t.Errorf("the submission ended with %+v", status)
 	}
 }
+
+// TestSecondBusyAnswerRunsTaskTwice: a target was busy, said so twice, and ran the task when it was sent again. The
+// second answer was taken for that to this sending, and the task was sent once more.
+func TestSecondBusyAnswerRunsTaskTwice(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var sendings, runs atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				b := bufio.NewReader(c)
+				for busy := ""; ; {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					name := r.Header.Get(target.HeaderTask)
+					if sendings.Add(1) == 1 {
+						busy = fmt.Sprintf("HTTP/1.1 503 busy\r\n%s: %s\r\n%s: true\r\nContent-Length: 0\r\n\r\n", target.HeaderTask, name, target.HeaderNotRun)
+						_, _ = io.WriteString(c, busy)
+						continue
+					}
+					runs.Add(1)
+					_, _ = io.WriteString(c, busy)
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\n{}", target.HeaderTask, name)
+					busy = ""
+				}
+			}()
+		}
+	}()
+	h, _ := hostAlone(t, l.Addr().String())
+	ids, refusal := h.issue(testLedger, 1)
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	work := submission.Submission{Key: testKey, Tasks: []submission.Task{{Body: []byte(`{}`)}}}
+	if _, refusal := h.submit(t.Context(), ids[0], work, 20*time.Second); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("the task was run %d times, want 1", n)
+	}
+}
