Tests of package gate build again

pool.Answer has had a slice since, which Go does not compare with !=, so the tests of package gate did not build: none of them ran. TestJobThatDispatchersFailOnIsGivenUp compares with reflect.DeepEqual, which is as strict. go test ./internal/gate passes.

--- a/tamarackpin/internal/gate/gate_test.go
+++ b/tamarackpin/internal/gate/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,7 +78,7 @@
 	}
 	submittedAt := time.Now()
 	again := gate.Run(ctx, pool.Request{Job: poison, RemainingWait: wait})
-	if tookAgain := time.Since(submittedAt); again != a || tookAgain > submittedAt.Sub(startedAt)/4 {
+	if tookAgain := time.Since(submittedAt); !reflect.DeepEqual(again, a) || tookAgain > submittedAt.Sub(startedAt)/4 {
 		t.Errorf("answer %+v after %s to the job when it is submitted again, want %+v at once", again, tookAgain, a)
 	}
 }
