An answer that names another job is not delivered

The gate wrote its own job into each answer of a dispatcher without comparing the two, so nothing recognised one that was not its own. No such answer has been seen; calls between VMs are matched by their ids, and answers by admission.

Cause: group.Forward took any answer to its call. Change: one that names another job is logged (event 822) and counts as no answer: the job may be running, it is withdrawn, and the gate forwards it again.

TestAnswerOfAnotherJobIsNotDelivered fails before (delivered as completed, no withdrawal) and passes now. The stand-in of another group in that package's tests answered without a job; it names it now, as dispatchers do. Packages event, group and gate pass, but for TestSuccessorBehindACutLacksNewWorkers, which is known to fail.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -70,6 +70,7 @@
 	StartUnlisted     ID = 819
 	GateLost          ID = 820
 	JobCompleted      ID = 821
+	AnswerMisdirected ID = 822
 )
 
 // Entry describes one event.
@@ -136,6 +137,7 @@
 	{StartUnlisted, zapcore.WarnLevel, "job started before all workers listed their runs", "After a takeover the dispatcher ordered a task while the workers in `unlisted` had not listed their runs. If one of them runs the same task, 817 names it."},
 	{GateLost, zapcore.WarnLevel, "jobs of a silent gate withdrawn", "The dispatcher received no message of a gate for `silence` and withdrew its jobs, `jobs` of them. The gate may have forwarded them to another dispatcher, or their callers submit them again."},
 	{JobCompleted, zapcore.InfoLevel, "job completed by its dispatcher", "`ends` has a row for each of its `tasks`, at most 16: its phase, run, and the end that was counted for it, by worker, incarnation and number of the end. A row whose phase is not finished, or without a worker, is a fault. Report it."},
+	{AnswerMisdirected, zapcore.ErrorLevel, "answer names another job", "A dispatcher's answer to the call for `job` names `answered`. It was not delivered; the gate withdraws the job and forwards it again. Report it."},
 }
 
 var byID = func() map[ID]Entry {
--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -26,6 +26,9 @@
 	Err              error // why there was no answer; nil if the VM replied without one
 }
 
+// errOtherJob is the error of a call whose answer names another job. What became of its own is unknown.
+var errOtherJob = errors.New("the answer names another job")
+
 // withdrawTimeout bounds the notification of a leader that a job is withdrawn.
 const withdrawTimeout = time.Second
 
@@ -47,6 +50,11 @@
 	} else {
 		reply, err = peer.Call[forwardReply](ctx, g.config.Mesh, to.VM, report.UseForward, methodRun, req)
 	}
+	if err == nil && reply.Answered && reply.Answer.Job != r.Job.ID {
+		event.Log(g.config.Log, event.AnswerMisdirected, zap.String("job", string(r.Job.ID)), zap.String("answered", string(reply.Answer.Job)),
+			zap.String("outcome", string(reply.Answer.Outcome)), zap.String("from", string(to.VM)), zap.Uint64("number", number))
+		err = errOtherJob
+	}
 	if err == nil {
 		if reply.Answered && to.VM != g.self.VM {
 			g.recordAnswer(to.VM, time.Now())
--- a/tamarackpin/internal/group/offload_test.go
+++ b/tamarackpin/internal/group/offload_test.go
@@ -20,7 +20,9 @@
 // pingLag, and each job as completed after jobTime.
 type otherGroup struct {
 	pingLag, jobTime time.Duration
+	answered         job.ID // the job that the answers name, if not the one that was asked for
 	pings            atomic.Int64
+	withdrawn        atomic.Uint64 // number of the newest withdrawal
 }
 
 // serve starts the stand-in on a loopback address and returns a Group that reaches it.
@@ -35,11 +37,18 @@
 		time.Sleep(o.pingLag)
 		return struct{}{}, nil
 	})
-	peer.Handle(&x, methodRun, func(context.Context, vm.ID, forwardRequest) (forwardReply, error) {
+	peer.Handle(&x, methodRun, func(_ context.Context, _ vm.ID, r forwardRequest) (forwardReply, error) {
 		time.Sleep(o.jobTime)
-		return forwardReply{Answer: pool.Answer{Outcome: job.Completed}, Answered: true, Admitted: true}, nil
+		a := pool.Admission{Job: r.Request.Job.ID, Number: 1}
+		if o.answered != "" {
+			a.Job = o.answered
+		}
+		return forwardReply{Answer: pool.Answer{Admission: a, Outcome: job.Completed}, Answered: true, Admitted: true}, nil
+	})
+	peer.Handle(&x, methodWithdraw, func(_ context.Context, _ vm.ID, w withdrawal) (struct{}, error) {
+		o.withdrawn.Store(w.Ticket.Number)
+		return struct{}{}, nil
 	})
-	peer.Handle(&x, methodWithdraw, func(context.Context, vm.ID, withdrawal) (struct{}, error) { return struct{}{}, nil })
 	s := &peer.Server{Self: "ip-0a000002", Mux: &x, Log: zap.NewNop(), Known: func(vm.ID) bool { return true }}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -67,6 +76,28 @@
 	}
 }
 
+// TestAnswerOfAnotherJobIsNotDelivered: a dispatcher's answer was taken for that of the job that was asked for, whichever
+// job it named.
+func TestAnswerOfAnotherJobIsNotDelivered(t *testing.T) {
+	o := &otherGroup{answered: "b"}
+	g := o.serve(t)
+	const number = 7
+	for _, to := range []job.ID{"a", "b"} {
+		result := g.Forward(t.Context(), Leader{VM: "ip-0a000002"}, number, pool.Request{Job: job.Job{ID: to}})
+		if got, want := result.Answered, to == "b"; got != want {
+			t.Errorf("job %s: answered %v with the outcome of job b, want %v", to, got, want)
+		}
+		if to == "a" && (!result.MayBeRunning || result.Err == nil) {
+			t.Errorf("the job is taken for one that may not be running, without an error: %+v", result)
+		}
+	}
+	for deadline := time.Now().Add(5 * time.Second); o.withdrawn.Load() != number; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the job without an answer of its own is not withdrawn")
+		}
+	}
+}
+
 // TestPingsDoNotGrowWithOffloadedJobs guards against a load of pings that itself makes the
 // other VM late: one VM pings another at most once in pingInterval, whatever the number
 // of its jobs there.
