Log what a dispatcher knows of the worker of a start

pool.Order carries the newest announcement known when it was queued, and whether the start is a repeated one. Event 823 is a repeated start. 807, 811, 819 and 823 have the fields announced_incarnation, announced_sequence, worker_leaving, worker_deregistered, announcement_age and reply_age. 807 also covers the later runs of any task.

TestStartTellsNewsOfWorker.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -71,6 +71,7 @@
 	GateLost          ID = 820
 	JobCompleted      ID = 821
 	AnswerMisdirected ID = 822
+	StartRepeated     ID = 823
 )
 
 // Entry describes one event.
@@ -122,7 +123,7 @@
 	{JobSpilled, zapcore.InfoLevel, "job handed to another group", "Its own group would have been late with it; the outcome is what the other made of it."},
 	{JobNotCompleted, zapcore.WarnLevel, "job not completed", "A caller's job was refused (not_run), failed or was given up (abandoned), for the reason in the field."},
 	{WorkersDivided, zapcore.InfoLevel, "workers divided", "The workers of the failure domain are divided into another number of groups, each with a dispatcher; what runs is stopped, and starts again after 1.5 s."},
-	{JobStarted, zapcore.InfoLevel, "job started", "The dispatcher ordered the first task of a job; `gates` says how many gates wait for its answer, and `gate_silence` the time since the last message of the one that has been silent for longest."},
+	{JobStarted, zapcore.InfoLevel, "job started", "The dispatcher ordered the first task of a step, or a later run of any task; `gates` says how many gates wait for its answer, and `gate_silence` the time since the last message of the one that has been silent for longest. `worker_leaving` and the fields beside it are of the worker's newest announcement that the dispatcher knew, and `reply_age` is the time since the worker last replied to it."},
 	{JobHandedAgain, zapcore.InfoLevel, "job handed in again", "A gate handed in a job that is in hand here (`known`) or that was handed to another dispatcher before (`may_run`)."},
 	{JobRefused, zapcore.InfoLevel, "job refused by its dispatcher", "The dispatcher had started no task of it; with `elsewhere` another group may take it."},
 	{AnswerUnclaimed, zapcore.InfoLevel, "answer that no gate waits for", "The gates of the job were lost or have withdrawn it."},
@@ -138,6 +139,7 @@
 	{GateLost, zapcore.WarnLevel, "jobs of a silent gate withdrawn", "The dispatcher received no message of a gate for `silence` and withdrew its jobs, `jobs` of them. The gate may have forwarded them to another dispatcher, or their callers submit them again."},
 	{JobCompleted, zapcore.InfoLevel, "job completed by its dispatcher", "`ends` has a row for each of its `tasks`, at most 16: its phase, run, and the end that was counted for it, by worker, incarnation and number of the end. A row whose phase is not finished, or without a worker, is a fault. Report it."},
 	{AnswerMisdirected, zapcore.ErrorLevel, "answer names another job", "A dispatcher's answer to the call for `job` names `answered`. It was not delivered; the gate withdraws the job and forwards it again. Report it."},
+	{StartRepeated, zapcore.InfoLevel, "start ordered again", "An earlier order of the same run got no reply, and its worker replies again. The worker carries the run out once. The fields are those of 807."},
 }
 
 var byID = func() map[ID]Entry {
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -33,11 +33,27 @@
 	Run  job.Run  // number of the run; a worker starts none that it has seen, nor an earlier one
 	Spec string   // of a start: what to run
 
+	// Of a start, for the log: whether an earlier order of the run got no reply, and what the
+	// dispatcher knew of the worker when it queued the order.
+	Repeated bool
+	Known    WorkerNews
+
 	Deadline worker.Clock  // new expiry of all leases on the worker, on its clock; 0 extends none. A start that arrives after it is refused
 	EndsSeen uint64        // of a renewal: the worker may forget the ends up to this number
 	Wait     time.Duration // of a renewal: how long the worker may wait for an end before it replies
 }
 
+// WorkerNews is the newest announcement of a worker that a dispatcher knows, for the log. It
+// may be of another incarnation than the one that an order is meant for.
+type WorkerNews struct {
+	Incarnation  worker.Incarnation
+	Sequence     uint64
+	Leaving      bool
+	Deregistered bool
+	AnnouncedAt  time.Time
+	RepliedAt    time.Time // when the worker last replied to an order; zero if it has not
+}
+
 // Refusal is the reason why a worker did not carry out an order. A job that is refused
 // gets an [Answer] instead.
 type Refusal string
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -284,5 +284,8 @@
 func (p *Pool) orderStart(now time.Time, w *workerState, t *task) {
 	d := p.leaseDeadline(now, w)
 	t.startSentAt, t.lapsesAt = now, w.timing.ReachedBy(now, d)
-	p.enqueueOrder(now, w, Order{Kind: StartOrder, Task: t.name, Run: t.run, Spec: t.job.Job.Spec, Deadline: d})
+	p.enqueueOrder(now, w, Order{
+		Kind: StartOrder, Task: t.name, Run: t.run, Spec: t.job.Job.Spec, Deadline: d,
+		Repeated: t.repeated(), Known: w.news(),
+	})
 }
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -221,6 +221,15 @@
 	return w.Usable(now) || !w.Deregistered && !w.Leaving && now.Sub(w.lastReplyAt) < replyValidity
 }
 
+// news returns the newest announcement of w, for the log.
+func (w *workerState) news() WorkerNews {
+	rec := w.Record
+	if w.announcedNext.AnnouncedAt.After(rec.AnnouncedAt) {
+		rec = w.announcedNext
+	}
+	return WorkerNews{rec.Incarnation, rec.Sequence, rec.Leaving, rec.Deregistered, rec.AnnouncedAt, w.lastReplyAt}
+}
+
 // needsProbe reports whether w should be sent a renewal to see whether it responds:
 // its announcements have stopped and it has sent no reply for a while.
 func (w *workerState) needsProbe(now time.Time) bool {
--- a/tamarackpin/internal/group/log.go
+++ b/tamarackpin/internal/group/log.go
@@ -52,8 +52,8 @@
 // maxLoggedTasks bounds the tasks of a job in one line.
 const maxLoggedTasks = 16
 
-// logStarts logs each start order of the first task of a step, repeated runs included, and
-// every start order of a job that no gate waits for.
+// logStarts logs the start orders of the first task of each step, of runs after the first, and of
+// jobs that no gate waits for, and each repeated order. Their fields say what was known of the worker.
 func (g *Group) logStarts(now time.Time, s *groupState, orders []pool.Order) {
 	if !slices.ContainsFunc(orders, func(o pool.Order) bool { return o.Kind == pool.StartOrder }) {
 		return
@@ -71,7 +71,9 @@
 		switch {
 		case gates == 0:
 			id = event.StartUnclaimed
-		case o.Task.Index > 0:
+		case o.Repeated:
+			id = event.StartRepeated
+		case o.Task.Index > 0 && o.Run == 1:
 			continue
 		case len(takeover.Unlisted) > 0 && takeover.Since < unlistedLogTime || !takeover.RunsKnown:
 			id = event.StartUnlisted
@@ -81,6 +83,7 @@
 			zap.Int("run", int(o.Run)), zap.String("worker", string(o.Worker)), zap.Int64("fence", int64(o.Fence)), zap.Int("gates", gates),
 			zap.Duration("gate_silence", now.Sub(g.gateContact(now, s.waiters[a]).HeardAt)), zap.Duration("after_takeover", takeover.Since),
 		}
+		fields = append(fields, workerFields(now, o)...)
 		if id == event.StartUnlisted {
 			fields = append(fields, takeoverFields(takeover)...)
 		}
@@ -88,6 +91,19 @@
 	}
 }
 
+// workerFields returns the fields that say what the dispatcher knew of the worker of a start order.
+func workerFields(now time.Time, o pool.Order) []zap.Field {
+	fields := []zap.Field{
+		zap.Int64("incarnation", int64(o.Incarnation)), zap.Int64("announced_incarnation", int64(o.Known.Incarnation)), zap.Uint64("announced_sequence", o.Known.Sequence),
+		zap.Bool("worker_leaving", o.Known.Leaving), zap.Bool("worker_deregistered", o.Known.Deregistered),
+		zap.Duration("announcement_age", now.Sub(o.Known.AnnouncedAt)),
+	}
+	if !o.Known.RepliedAt.IsZero() {
+		fields = append(fields, zap.Duration("reply_age", now.Sub(o.Known.RepliedAt)))
+	}
+	return fields
+}
+
 // unlistedLogTime is how long after a takeover starts are logged as made before all workers have listed
 // their runs: twice the time for which a run of an earlier dispatcher may go on. A worker that
 // crashed before the takeover never lists any.
--- a/tamarackpin/internal/group/takeover_log_test.go
+++ b/tamarackpin/internal/group/takeover_log_test.go
@@ -81,3 +81,36 @@
 		t.Errorf("lines on the start: %v, want one with a gate_silence of %s", found, silence)
 	}
 }
+
+// TestStartTellsNewsOfWorker: a start that broke DRAIN could not be told from one in ignorance of the
+// departure, and a repeated start was not logged as one.
+func TestStartTellsNewsOfWorker(t *testing.T) {
+	g, _ := newLeadingGroup(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	g.config.Log = zap.New(core)
+	g.addWorker(t, "w1")
+	p := g.groups[0].pool
+	now := time.Now()
+	g.groups[0].submit(now, oneTask("a", time.Second), waiter{done: make(chan result, 1)})
+	orders, _ := p.TakePending()
+	g.logStarts(now, g.groups[0], orders)
+	const later = 300 * time.Millisecond
+	for _, o := range orders {
+		r := pool.Reply{Order: o}
+		if o.Kind != pool.StartOrder {
+			r.Done, r.RepliedBy, r.Clock, r.HasClock = true, 1, worker.Clock(time.Minute+later), true
+		}
+		p.Receive(now.Add(later), r)
+	}
+	g.applyDecisions(t.Context(), now.Add(later))
+	for _, id := range []event.ID{event.JobStarted, event.StartRepeated} {
+		found := logs.FilterField(zap.Int("event", int(id))).All()
+		if len(found) != 1 {
+			t.Fatalf("event %d: lines %v, want one", id, found)
+		}
+		fields := found[0].ContextMap()
+		if age := fields["announcement_age"].(time.Duration); fields["announced_sequence"] != uint64(1) || fields["worker_leaving"] != false || age < 0 || age > time.Minute {
+			t.Errorf("event %d: fields %v", id, fields)
+		}
+	}
+}
