No start is repeated on a worker that leaves

Callers saw: work is ordered on a back end that is about to go.

Cause: repeatStarts ordered a start that got no reply again whenever its worker replied to anything, without regard to the departure, while first starts have always required a worker that stays.

Change: workerState.takesStarts says in one place whether a start may be ordered on a worker; first starts, starts of tasks that are bound to a worker by a late start, and repeated starts use it. None goes to a worker that is known to leave. Adopted runs and others that go on there keep their leases. A start in doubt on a worker that leaves is taken off it once a list that was sent after its lease deadline lacks it: it cannot be carried out there any more. It needs no stop, which might go without a reply and have the leases of the other runs on the worker lapse.

--- a/internal/pool/late_starts.go
+++ b/internal/pool/late_starts.go
@@ -42,9 +42,10 @@
 func (t *task) repeated() bool { return t.startSentAt.After(t.orderedAt) }
 
 // repeatStarts orders the starts on w again that got no reply, for the same runs, once w
-// replies: it carries each run out once, whichever order arrives first.
+// replies: it carries each run out once, whichever order arrives first. On a worker that leaves
+// they are given up once they cannot be carried out any more, see reconcile.
 func (p *Pool) repeatStarts(now time.Time, w *workerState) {
-	if w.missedReplies > 0 || w.stale || !w.hasDoubtfulStart() || p.leasesMustLapse(now, w) {
+	if !w.takesStarts() || !w.hasDoubtfulStart() || p.leasesMustLapse(now, w) {
 		return
 	}
 	for _, t := range assignedTasks(w) {
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -122,7 +122,8 @@
 			if t.phase == starting || t.phase == inDoubt {
 				t.phase, t.ackedAt = running, now
 			}
-		case t.phase == running && r.Sent.After(t.ackedAt), t.phase == stopping && r.Sent.After(t.lapsesAt):
+		case t.phase == running && r.Sent.After(t.ackedAt), t.phase == stopping && r.Sent.After(t.lapsesAt),
+			t.phase == inDoubt && w.leaves() && r.Sent.After(t.lapsesAt):
 			// It is neither listed nor among the ends, and cannot start any more.
 			p.requeue(t)
 			p.forgetIfDone(t.job)
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -18,7 +18,7 @@
 	starting              // the start was ordered and has no reply yet
 	running               // the worker acknowledged the start or listed the run
 	stopping              // a stop was ordered; the task may still run
-	inDoubt               // the start got no reply, so it may or may not run; it is ordered again once the worker replies
+	inDoubt               // the start got no reply, so it may or may not run; it is ordered again once the worker replies, unless that leaves
 	finished              // done, or its job is closed; a failed run of an open job leads back to waiting
 )
 
@@ -208,17 +208,30 @@
 	stale           bool                 // this incarnation has ended: no renewal and no new task until the next one is announced
 }
 
-// eligible reports whether w may get new tasks: this incarnation has announced what it is (its kind,
-// rack, service and capacity, and that it is not leaving), its runs are known, it replies and
-// is not in backoff.
+// leaves reports whether this incarnation of w is known to leave.
+func (w *workerState) leaves() bool { return w.Leaving || w.Deregistered }
+
+// takesStarts reports whether a start may be ordered on w, a first one or one that got no
+// reply: this incarnation has announced what it is, is not known to leave, and replies.
+//
+// The platform allows starts on a worker for some time after its departure was acknowledged. A
+// dispatcher uses none of it, as the news may reach it late by as much, and a run might be lost
+// with the worker. Runs that go on there, adopted ones too, are left alone and their
+// leases extended.
+func (w *workerState) takesStarts() bool {
+	return w.announced && !w.stale && !w.leaves() && w.missedReplies == 0
+}
+
+// eligible reports whether w may get new tasks: it takes starts, its runs are known, and it is not
+// in backoff.
 func (w *workerState) eligible(now time.Time) bool {
-	return w.announced && w.runsKnown && !w.stale && w.missedReplies == 0 && w.alive(now) && !now.Before(w.backoffUntil) && !now.Before(w.roomRetryAt)
+	return w.takesStarts() && w.runsKnown && w.alive(now) && !now.Before(w.backoffUntil) && !now.Before(w.roomRetryAt)
 }
 
-// alive reports whether w recently announced itself or replied. Announcements do
-// not arrive while all control VMs, which forward them, are lost.
+// alive reports whether w, which is not known to leave, recently announced itself or replied.
+// Announcements do not arrive while all control VMs, which forward them, are lost.
 func (w *workerState) alive(now time.Time) bool {
-	return w.Usable(now) || !w.Deregistered && !w.Leaving && now.Sub(w.lastReplyAt) < replyValidity
+	return w.Usable(now) || now.Sub(w.lastReplyAt) < replyValidity
 }
 
 // news returns the newest announcement of w, for the log.
@@ -234,7 +247,7 @@
 // its announcements have stopped and it has sent no reply for a while.
 func (w *workerState) needsProbe(now time.Time) bool {
 	unseenFor := now.Sub(w.AnnouncedAt)
-	return !w.Deregistered && !w.Leaving && unseenFor > worker.AnnouncementTimeout-replyValidity && unseenFor < probeLimit && now.Sub(w.lastReplyAt) > replyValidity/2
+	return !w.leaves() && unseenFor > worker.AnnouncementTimeout-replyValidity && unseenFor < probeLimit && now.Sub(w.lastReplyAt) > replyValidity/2
 }
 
 // Bounds for workers whose announcements stopped.
