A job that waits for a leaving worker is answered

Callers saw: a job whose start got no reply on a worker that leaves is answered at its deadline only, though nothing can be done for it any more.

Cause: while its start may be carried out late, a task may start on that worker only. giveUpBlockedJobs answers a job if that worker is not in the group, but not if it is there and leaves; no start goes to it either.

Change: blockedUntil takes a worker that leaves like one that is not in the group. The job is abandoned at once if the start may be carried out beyond its caller's deadline; otherwise it waits for the start to expire.

TestJobOfStartGivenUpOnLeavingWorkerIsAnswered and TestTaskBoundToLeavingWorker: no answer within 5 s and 1 s before; 1 s at most and less than 1 s now.

--- a/internal/pool/departed_starts_test.go
+++ b/internal/pool/departed_starts_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/latestart"
 	"tamarackpin.example/internal/worker"
 )
 
@@ -73,3 +74,68 @@
 	}
 	t.Error("the job is not answered")
 }
+
+// TestJobOfStartGivenUpOnLeavingWorkerIsAnswered: a start that got no reply on a worker that leaves can
+// be carried out only there. Its job was kept until its caller's deadline.
+func TestJobOfStartGivenUpOnLeavingWorkerIsAnswered(t *testing.T) {
+	h := newHarness(t, 2)
+	r := patientRequest(time.Second)
+	r.RemainingWait = 6 * time.Second
+	h.pool.Submit(h.now, r)
+	start := h.ordersOfKind(StartOrder)[0]
+	h.announceDeparture(start.Worker, 2)
+	h.reply(start, Reply{})
+	for range 500 {
+		h.advance(10 * time.Millisecond)
+		orders, answers := h.takePending()
+		for _, o := range orders {
+			h.reply(o, Reply{Done: o.Kind != StartOrder})
+		}
+		for _, a := range answers {
+			if after := h.now.Sub(start.Sent); a.Outcome != job.Abandoned || after > time.Second {
+				t.Errorf("answer %+v after %s, want abandoned within 1s", a, after)
+			}
+			return
+		}
+	}
+	t.Error("no answer within 5s")
+}
+
+// TestTaskBoundToLeavingWorker: a task may start nowhere else than on a worker that leaves, by a late start.
+// Its job waited for its caller's deadline, or for a start there.
+func TestTaskBoundToLeavingWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		expires time.Duration // of the late start
+		starts  bool
+	}{"until after the caller's deadline": {12 * time.Second, false}, "for a short time": {500 * time.Millisecond, true}} {
+		h := newHarness(t, 2)
+		h.announceDeparture("w0", 2)
+		h.pool.lateStarts.Merge(h.now, []latestart.Record{{Task: job.Task{Job: "a"}, Run: 1, Worker: "w0", Expires: h.now.Add(c.expires)}})
+		r := patientRequest(time.Second)
+		r.RemainingWait = 6 * time.Second
+		h.pool.Submit(h.now, r)
+		abandoned, started := false, false
+		for range 100 {
+			h.advance(10 * time.Millisecond)
+			orders, answers := h.takePending()
+			for _, a := range answers {
+				if a.Outcome != job.Abandoned {
+					t.Errorf("%s: answer %+v, want abandoned", name, a)
+				}
+				abandoned = true
+			}
+			for _, o := range orders {
+				if o.Kind == StartOrder {
+					if o.Worker != "w1" {
+						t.Errorf("%s: the task starts on %s", name, o.Worker)
+					}
+					started = true
+				}
+				h.reply(o, Reply{Done: true})
+			}
+		}
+		if started != c.starts || abandoned == c.starts {
+			t.Errorf("%s: started %t, abandoned %t after %s", name, started, abandoned, h.now.Sub(time.Unix(1000, 0)))
+		}
+	}
+}
--- a/internal/pool/late_starts.go
+++ b/internal/pool/late_starts.go
@@ -6,6 +6,7 @@
 
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/latestart"
+	"tamarackpin.example/internal/worker"
 )
 
 // lateStart returns the record of the newest order to start t, which got no reply yet.
@@ -91,7 +92,7 @@
 
 // giveUpBlockedJobs answers the pending jobs with a task that no worker may start before the
 // caller's deadline, since each of two workers may carry out a late start of it, or one that is
-// not in the group.
+// not in the group or leaves it.
 func (p *Pool) giveUpBlockedJobs(now time.Time) {
 	if p.lateStarts.Empty() {
 		return
@@ -109,16 +110,26 @@
 
 // blockedUntil returns the time before which a task cannot start anywhere, since a late start
 // of it may be carried out on another worker than the one it is bound to for longest, or on
-// one that is not in the group. It is zero if there is none.
+// one that is not in the group or leaves. It is zero if there is none. The next incarnation of a
+// worker that leaves is not counted on, as few have one.
 func (p *Pool) blockedUntil(now time.Time, name job.Task) time.Time {
 	bindings := p.lateStarts.Bindings(now, name)
 	switch {
 	case len(bindings) == 0:
 		return time.Time{}
-	case p.workers[bindings[0].Worker] == nil && !p.config.WorkersIncomplete:
+	case p.isGone(bindings[0].Worker):
 		return bindings[0].Until
 	case len(bindings) > 1:
 		return bindings[1].Until
 	}
 	return time.Time{}
 }
+
+// isGone reports whether no start will be ordered on a worker, as far as is known: it is not in the
+// group, or leaves.
+func (p *Pool) isGone(id worker.ID) bool {
+	if w := p.workers[id]; w != nil {
+		return w.leaves()
+	}
+	return !p.config.WorkersIncomplete
+}
