Random schedules of departures with starts in doubt check DRAIN

No dispatcher that was told of the departure may order a start there later than 2 s after it, and no task runs twice.

--- a/internal/pool/hidden_workers_test.go
+++ b/internal/pool/hidden_workers_test.go
@@ -56,7 +56,7 @@
 			incomplete[p] = true
 		default:
 			delete(h.until, s.id)
-			p.UpdateWorker(sim.now, sim.record(s))
+			sim.tell(p, s)
 		}
 	}
 	for _, i := range sim.groups {
--- a/internal/pool/predecessor_test.go
+++ b/internal/pool/predecessor_test.go
@@ -124,7 +124,7 @@
 				return GateContact{HeardAt: now, ConfirmedAt: now}
 			}})
 			for _, s := range workers {
-				p.UpdateWorker(sim.now, sim.record(s))
+				sim.tell(p, s)
 			}
 			return p
 		}
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -205,7 +205,7 @@
 	sim.groups[g] = len(sim.pools) - 1
 	for _, s := range sim.workers {
 		if sim.division.GroupOf(string(s.id)) == g && !sim.hidden.hides(s.id) {
-			p.UpdateWorker(sim.now, sim.record(s))
+			sim.tell(p, s)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(sim.jobs)) {
@@ -228,6 +228,12 @@
 	return rec
 }
 
+// tell passes on to a dispatcher what control VMs know of a worker.
+func (sim *simulation) tell(p *Pool, s *simWorker) {
+	sim.departures.tell(p, s)
+	p.UpdateWorker(sim.now, sim.record(s))
+}
+
 // divide divides the workers into another number of groups. The old dispatchers,
 // and the VMs that claim the new groups, are notified with their next heartbeat.
 func (sim *simulation) divide() {
@@ -303,7 +309,7 @@
 		sim.collect(i)
 	}
 	sim.lateStarts.share(sim)
-	if err := sim.settled.check(sim); err != nil || sim.doubled != nil {
+	if err := cmp.Or(sim.departures.firstLateStart(), sim.settled.check(sim)); err != nil || sim.doubled != nil {
 		return err // a worker that seems to have refused a start, or to list nothing, may run a task beside another
 	}
 	return sim.checkNoConcurrentRuns()
@@ -345,7 +351,7 @@
 	for _, s := range sim.workers {
 		if sim.r.IntN(100) == 0 && !sim.now.Before(s.downUntil) && !sim.hidden.hides(s.id) {
 			if p, ok := sim.owner(string(s.id)); ok {
-				p.UpdateWorker(sim.now, sim.record(s))
+				sim.tell(p, s)
 			}
 		}
 	}
@@ -426,6 +432,7 @@
 			sim.offloads.disturb(sim, &f)
 		}
 		sim.doubled.replace(sim, &f)
+		sim.departures.observe(sim, &f)
 		sim.events = append(sim.events, f)
 		// Without a reply the dispatcher gets an empty reply after its timeout.
 		sim.events = append(sim.events, scheduledEvent{orderID: f.orderID, pool: i, order: o, at: sim.now.Add(o.Wait + OrderTimeout), reply: &Reply{Order: o}})
