A successor knows all workers only as of its takeover

Cause: a dispatcher took the workers it knew for all if its news was up to a second old, its own or that of the neighbour it had fetched them from. On workers that announced themselves within that second its predecessor could start tasks; the successor started them again. Change: after a takeover the workers count as complete once the VM has the reply to a request that was sent later, to a control VM or, behind a cut, by a neighbour to a control VM; else once the leases of the predecessor are over, as before. The successor asks the control VMs at once (Syncer.SyncNow), and so does a neighbour that hears of the claim of a VM that lacks workers. The news of a VM counts as of its request, not as of the arrival of the reply, and a neighbour's as of the making of its heartbeat. Evidence: TestSuccessorBehindACutLacksNewWorkers fails before and passes now, unchanged. TestSuccessorBehindACutAsksItsNeighbour and TestSuccessorAsksControlVMAtOnce fail before, too (the latter: the VM counted as knowing all with 0 of 1 workers). Packages group and fleet pass, also with the race detector.

--- a/tamarackpin/internal/fleet/syncer.go
+++ b/tamarackpin/internal/fleet/syncer.go
@@ -43,9 +43,12 @@
 	table       tableFetch
 	seeds       atomic.Pointer[[]vm.ID]
 	lastContact atomic.Pointer[time.Time] // last reply of any control VM, with a monotonic reading
+	knownAt     atomic.Pointer[time.Time] // see KnownAt
 
-	mu       sync.Mutex // guards contacts
+	mu       sync.Mutex // guards the fields below
 	contacts map[vm.ID]time.Time
+	hurries  int           // number of calls of SyncNow
+	hurried  chan struct{} // closed by the next one; nil until a syncLoop needs it
 }
 
 // SetSeeds sets the control VMs that the settings name. It is called before Run
@@ -114,14 +117,22 @@
 // control VM. Lost and regained contact are logged once each.
 func (s *Syncer) syncLoop(ctx context.Context, id vm.ID) {
 	var req syncRequest
-	unreachable := false
+	unreachable, hurriesSeen := false, 0
 	for ctx.Err() == nil && s.isControlVM(id) {
 		req.Self = s.Knowledge.Self()
 		req.Reports = s.Knowledge.ownReports()
 		req.Division = s.Knowledge.Division(req.Self.FailureDomain)
 		req.Wait = wire.Duration(s.wait())
+		hurries, hurried := s.hurry()
+		if hurries != hurriesSeen {
+			hurriesSeen, req.Wait = hurries, 0
+		}
 		s.setVersions(&req)
-		reply, err := s.syncOnce(ctx, id, req)
+		sentAt := time.Now()
+		reply, err := s.syncOnce(ctx, id, req, hurried)
+		if err != nil && s.hurriedSince(hurries) {
+			continue
+		}
 		if err != nil {
 			if !unreachable && ctx.Err() == nil {
 				event.Log(s.Log, event.ControlLost, zap.String("vm", string(id)), event.Err(err))
@@ -139,16 +150,25 @@
 		}
 		now := time.Now()
 		s.Knowledge.merge(now, reply)
-		s.RecordContact(now) // after the merge: it says that the workers of the reply are known
+		s.recordContact(sentAt, now) // after the merge: it says that the workers of the reply are known
 		s.recordReply(now, id)
 		s.TableAnnounced(ctx, id, reply.Version)
 		req.CursorIncarnation, req.VMCursor, req.WorkerCursor = reply.Self.Incarnation, reply.VMCursor, reply.WorkerCursor
 	}
 }
 
-func (s *Syncer) syncOnce(ctx context.Context, id vm.ID, req syncRequest) (syncReply, error) {
+// syncOnce sends a request, and gives it up once hurried is closed: a reply to a request from before does not show what the
+// control VM knows by then.
+func (s *Syncer) syncOnce(ctx context.Context, id vm.ID, req syncRequest, hurried <-chan struct{}) (syncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, req.Wait.Std()+syncSlack)
 	defer cancel()
+	go func() {
+		select {
+		case <-hurried:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	return peer.Call[syncReply](ctx, s.Mesh, id, report.UseHeartbeat, methodSync, req)
 }
 
@@ -160,8 +180,46 @@
 	return defaultSyncWait
 }
 
-// RecordContact records that a control VM replied.
-func (s *Syncer) RecordContact(at time.Time) { s.lastContact.Store(&at) }
+// SyncNow asks each control VM at once for what it knows now, instead of waiting for its reply to the pending call.
+func (s *Syncer) SyncNow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hurries++
+	if s.hurried != nil {
+		close(s.hurried)
+		s.hurried = nil
+	}
+}
+
+// hurry returns the number of calls of SyncNow and a channel that is closed by the next one.
+func (s *Syncer) hurry() (int, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hurried == nil {
+		s.hurried = make(chan struct{})
+	}
+	return s.hurries, s.hurried
+}
+
+// hurriedSince reports whether SyncNow was called since the number of its calls was n.
+func (s *Syncer) hurriedSince(n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hurries != n
+}
+
+// RecordContact records that a control VM replied with what it knew at that time.
+func (s *Syncer) RecordContact(at time.Time) { s.recordContact(at, at) }
+
+// recordContact records a reply of a control VM and when its request was sent.
+func (s *Syncer) recordContact(sentAt, at time.Time) {
+	s.lastContact.Store(&at)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.knownAt.Load(); known == nil || sentAt.After(*known) {
+		s.knownAt.Store(&sentAt)
+	}
+}
 
 // recordReply records that a control VM replied.
 func (s *Syncer) recordReply(at time.Time, id vm.ID) {
@@ -195,6 +253,15 @@
 	return time.Time{}
 }
 
+// KnownAt returns a time such that all that some control VM knew then is known here, or the zero time: when the newest request
+// with a reply was sent.
+func (s *Syncer) KnownAt() time.Time {
+	if at := s.knownAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // FetchFrom fetches all that another VM knows, once, and reports whether that VM
 // replied. A process that starts while no control VM is reachable gets the table
 // and the workers from its neighbours this way.
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +29,8 @@
 		leaderless := s.leadership.NeedsLeader(now)
 		first := s.leadership.NoEarlierLeader()
 		if claim, claimed := s.leadership.Tick(now, controlReplyAt, others); claimed {
+			g.takeoverAt.Store(&now)
+			g.config.Syncer.SyncNow()
 			incomplete := g.workersIncomplete(now)
 			event.Log(g.config.Log, event.LeadTaken, zap.Int("group", i), zap.Int64("fence", int64(claim.Fence)), zap.Int("living", len(s.leadership.LivePeers(now))),
 				zap.Bool("workers_incomplete", incomplete), zap.Bool("first", first), zap.Any("control_news_seconds", g.config.Syncer.ContactAges(now)),
@@ -37,7 +40,7 @@
 				Fence: claim.Fence, LeaseMax: g.config.LeaseMax, StopMax: g.config.StopMax, DividedAt: g.dividedAt, WorkersIncomplete: incomplete, FirstDispatcher: first, Crashes: &g.crashes, LateStarts: &g.lateStarts,
 				GateContact: func(now time.Time, a pool.Admission) pool.GateContact { return g.gateContact(now, s.waiters[a]) },
 			})
-			s.cursor, s.runsKnownLogged, g.workersUpdatedAt = 0, false, time.Time{}
+			s.cursor, s.runsKnownLogged, s.workersIncomplete, g.workersUpdatedAt = 0, false, incomplete, time.Time{}
 		}
 		if leaderless {
 			others.LeaderlessBefore++
@@ -53,21 +56,38 @@
 // a worker announces itself to one control VM only, which may have restarted as well.
 // After AnnouncementTimeout every live worker has announced itself again. A VM that is cut off
 // from the control VMs does not know the workers that started since, on which other
-// dispatchers may start tasks, unless it gets them from a neighbour.
+// dispatchers may start tasks, unless it gets them from a neighbour. After a takeover it needs
+// the workers as of the takeover at least, since the predecessor may have started tasks until then on
+// workers that had just announced themselves.
 func (g *Group) workersIncomplete(now time.Time) bool {
-	newsAt := g.workerNewsAt()
+	newsAt := g.newerWorkers(g.config.Syncer.LastContact())
 	justStarted := g.workersCompleteAt.Load() == nil && now.Sub(g.startedAt) < worker.AnnouncementTimeout
-	return justStarted || !newsAt.IsZero() && now.Sub(newsAt) > maxWorkerNewsAge
+	return justStarted || !newsAt.IsZero() && (now.Sub(newsAt) > maxWorkerNewsAge || g.workersKnownAt().Before(g.newestTakeover()))
 }
 
-// workerNewsAt returns the time of the newest news of workers: of the last reply of a control VM, or of
-// the one that a neighbour had when its workers were fetched. It is zero if there was none.
-func (g *Group) workerNewsAt() time.Time {
-	newsAt := g.config.Syncer.LastContact()
-	if at := g.workersCompleteAt.Load(); at != nil && at.After(newsAt) {
-		newsAt = *at
+// workersKnownAt returns a time such that all workers that some control VM knew then are known here, or the zero time.
+func (g *Group) workersKnownAt() time.Time { return g.newerWorkers(g.config.Syncer.KnownAt()) }
+
+// newerWorkers returns the later of at and the time as of which workers were last fetched from a neighbour.
+func (g *Group) newerWorkers(at time.Time) time.Time {
+	if fetched := g.workersCompleteAt.Load(); fetched != nil && fetched.After(at) {
+		return *fetched
+	}
+	return at
+}
+
+// newestTakeover returns when this VM last took over a group, or the zero time.
+func (g *Group) newestTakeover() time.Time {
+	if at := g.takeoverAt.Load(); at != nil {
+		return *at
 	}
-	return newsAt
+	return time.Time{}
+}
+
+// newWorkersComplete reports whether a pool that lacked workers can get all of them now.
+func (g *Group) newWorkersComplete(now time.Time) bool {
+	lacking := slices.ContainsFunc(g.groups, func(s *groupState) bool { return s.pool != nil && s.workersIncomplete })
+	return lacking && !g.workersIncomplete(now)
 }
 
 // redivide changes the number of groups if there are too many or too few workers for
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -45,7 +45,7 @@
 	Claims            []lead.Claim   `json:"claims"` // newest known to the sender, by group
 	Version           routes.Version `json:"version"`
 	WorkersIncomplete bool           `json:"partial,omitempty"` // the sender may not know all workers
-	// WorkerNewsAge is the age of the sender's newest news of workers, 0 if it had none.
+	// WorkerNewsAge is how long ago a control VM knew no worker that the sender does not know, 0 if it never had news.
 	WorkerNewsAge wire.Duration `json:"worker_news_age,omitempty"`
 	Made          stamp         `json:"made,omitzero"`
 	// Echo is the stamp of the newest heartbeat of the receiver that arrived before.
@@ -58,7 +58,7 @@
 	echo := g.contacts.newestOf(to) // before the directory: the claims are to be as new as the echo says
 	d := g.directory.Load()
 	hb := heartbeat{Self: g.config.Knowledge.Self(), Division: d.division, WorkersIncomplete: g.workersIncomplete(now), Made: g.stampFor(to, now), Echo: echo}
-	if at := g.workerNewsAt(); !at.IsZero() {
+	if at := g.workersKnownAt(); !at.IsZero() {
 		hb.WorkerNewsAge = wire.Duration(now.Sub(at))
 	}
 	for _, l := range d.leaders {
@@ -194,17 +194,18 @@
 func (g *Group) receiveHeartbeat(ctx context.Context, hb heartbeat) {
 	now := time.Now()
 	g.recordExchange(now, hb.Self.VM)
-	g.contacts.record(now, process{hb.Self.VM, hb.Self.Incarnation}, hb.Made)
+	madeAt := g.contacts.record(now, process{hb.Self.VM, hb.Self.Incarnation}, hb.Made)
 	g.config.Knowledge.ObserveVM(now, hb.Self, 0)
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.applyHeartbeat(now, hb) })
 	g.config.Syncer.TableAnnounced(ctx, hb.Self.VM, hb.Version)
-	canCompleteWorkers := g.workersIncomplete(now) && !hb.WorkersIncomplete
+	newsAt := madeAt.Add(-hb.WorkerNewsAge.Std())
+	fetched := g.workersCompleteAt.Load()
+	canCompleteWorkers := g.workersIncomplete(now) && !hb.WorkersIncomplete && (fetched == nil || newsAt.After(*fetched))
 	if !canCompleteWorkers && g.config.Knowledge.KnowsWorkers() || !g.syncing.CompareAndSwap(false, true) {
 		return
 	}
 	defer g.syncing.Store(false)
 	if g.config.Syncer.FetchFrom(ctx, hb.Self.VM) && canCompleteWorkers {
-		newsAt := now.Add(-hb.WorkerNewsAge.Std())
 		if at := g.workersCompleteAt.Load(); at == nil || newsAt.After(*at) {
 			g.workersCompleteAt.Store(&newsAt)
 		}
@@ -223,6 +224,10 @@
 		if hb.Division.Epoch == g.division.Epoch && i < len(hb.Claims) {
 			s.leadership.RecordClaim(now, hb.Self.VM, hb.Claims[i])
 		}
+		if c := s.leadership.Claim(); hb.WorkersIncomplete && c.VM == hb.Self.VM && c.Fence > s.syncedFor {
+			s.syncedFor = c.Fence
+			g.config.Syncer.SyncNow()
+		}
 	}
 	if hb.Division.Epoch == g.division.Epoch {
 		after := g.stampedAt(hb.Echo)
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -81,9 +81,10 @@
 	contacts lastContacts
 
 	// startedAt is when the process started; workersCompleteAt is the time of the news of workers that were last
-	// fetched from a VM that knows all of them, nil if never.
+	// fetched from a VM that knows all of them, takeoverAt that of the last takeover, nil if never.
 	startedAt         time.Time
 	workersCompleteAt atomic.Pointer[time.Time]
+	takeoverAt        atomic.Pointer[time.Time]
 	syncing           atomic.Bool // a sync caused by a heartbeat is running
 
 	exchangeMu    sync.Mutex // guards lastExchanges
@@ -213,7 +214,7 @@
 	}
 	g.tickLeaderships(now)
 	g.earlyWithdrawals.expire(now)
-	if now.Sub(g.workersUpdatedAt) >= workerUpdateInterval {
+	if now.Sub(g.workersUpdatedAt) >= workerUpdateInterval || g.newWorkersComplete(now) {
 		g.workersUpdatedAt = now
 		g.updateWorkers(now)
 		g.redivide(now)
@@ -248,6 +249,7 @@
 			}
 		}
 		if complete {
+			s.workersIncomplete = false
 			s.pool.CompleteWorkers(now)
 		}
 		r := s.pool.Report(now)
--- a/tamarackpin/internal/group/state.go
+++ b/tamarackpin/internal/group/state.go
@@ -18,6 +18,11 @@
 	cursor     worker.Cursor             // position up to which the pool has received workers
 	// runsKnownLogged reports that it was logged that the pool knows the runs of earlier dispatchers.
 	runsKnownLogged bool
+	// workersIncomplete reports that there may be workers that the pool has not received.
+	workersIncomplete bool
+	// syncedFor is the newest claim for which the control VMs were asked at once, so that its holder can fetch
+	// the workers from here.
+	syncedFor lead.Fence
 }
 
 func newGroupState(l *lead.Leadership) *groupState {
