A refusal does not take back a run that was listed

Cause: a refusal of a start whose only order it was made the task wait again also after its worker had listed the run, though a refusal to that order and the run contradict each other unless an earlier dispatcher started a run of the same number there, or the refusal is the second reply to an earlier order. If the run had ended meanwhile, that end was ignored. Change: a task whose run was listed or acknowledged keeps its worker; the next list tells whether the run goes on, has ended or is gone. The worker is backed off from as before.

TestRefusalTakesNoListedRunBack fails before for five refusals (started beside the run; its end done is not counted) and passes now; TestRefusedRunThatIsGoneStartsAgain passes before and after. Rest of package pool: all pass but the known TestNoTaskRunsTwiceOnUnnoticedRestart.

--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -72,7 +72,7 @@
 }
 
 // handleStartReply handles the reply to a start, or that none came, unless a later
-// run of the task was ordered. After a refusal the task waits again.
+// run of the task was ordered. After a refusal the task waits again, unless the run was listed.
 func (p *Pool) handleStartReply(now time.Time, w *workerState, r Reply) {
 	t := w.tasks[r.Task]
 	if t == nil || t.run != r.Run {
@@ -111,6 +111,8 @@
 		if t.phase == starting {
 			p.stopTask(now, t)
 		}
+	case !t.ackedAt.IsZero():
+		// The worker has listed this run; the next list tells whether it goes on.
 	default:
 		// The worker did not start the task and won't: a refusal is final.
 		p.requeue(t)
