A refused offload is reported to the own group once

Cause: once a group had refused a job that was offloaded to it, its gate said so in each further forward. The own group then forgets where the job is offloaded. If the gate lost the call that said so, and a later try of the same caller had been offloaded meanwhile through another gate, the next forward made the own group forget that and start the job beside its run.

Change: a call that may have arrived was the report; the next one does not repeat it. If it was not handled, the group returns the job as for a later try, and it is offloaded again and refused again, or joins its run.

--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -148,6 +148,9 @@
 			continue
 		}
 		r.MayBeRunning = r.MayBeRunning || result.MayBeRunning
+		if result.MayBeRunning {
+			r.OffloadRefused = false // reported by this call; a later try may have been offloaded since
+		}
 		if result.DispatcherFailed {
 			failures++
 		}
--- /dev/null
+++ b/tamarackpin/internal/gate/offload_refused_test.go
@@ -0,0 +1,120 @@
+package gate
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/lead"
+	"tamarackpin.example/internal/pool"
+	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/routes"
+	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/tamarackpin/internal/fleet"
+	"tamarackpin.example/tamarackpin/internal/group"
+	"tamarackpin.example/tamarackpin/internal/peer"
+)
+
+// What entry VMs send each other, as far as standInLeader needs it.
+type (
+	heartbeatReply struct {
+		Self   vm.Presence  `json:"self"`
+		Claims []lead.Claim `json:"claims"`
+	}
+	runRequest struct {
+		Ticket  group.Ticket `json:"ticket"`
+		Group   lead.Group   `json:"group"`
+		Epoch   lead.Fence   `json:"epoch"`
+		Request pool.Request `json:"request"`
+		Made    any          `json:"made"`
+	}
+	runReply struct {
+		Answer   pool.Answer `json:"answer"`
+		Answered bool        `json:"leads"`
+		Admitted bool        `json:"taken"`
+	}
+)
+
+// standInLeader stands in for another entry VM that leads the only group, and for the group to which it has
+// jobs offloaded.
+type standInLeader struct {
+	answer func(try int, r pool.Request) runReply
+
+	mu    sync.Mutex // guards calls
+	calls []pool.Request
+}
+
+// serve starts the stand-in on a loopback address and returns a gate that follows it.
+func (s *standInLeader) serve(t *testing.T) *Gate {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := vm.Presence{VM: "ip-0a000002", FailureDomain: "a", Incarnation: 1, Callers: true}
+	var x peer.Mux
+	peer.Handle(&x, "group.exchange", func(context.Context, vm.ID, map[string]any) (heartbeatReply, error) {
+		return heartbeatReply{self, []lead.Claim{{Fence: 7, VM: self.VM, Incarnation: self.Incarnation}}}, nil
+	})
+	peer.Handle(&x, "group.ping", func(context.Context, vm.ID, map[string]any) (struct{}, error) { return struct{}{}, nil })
+	peer.Handle(&x, "group.run", func(_ context.Context, _ vm.ID, r runRequest) (runReply, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.calls = append(s.calls, r.Request)
+		reply := s.answer(len(s.calls), r.Request)
+		reply.Answer.Job = r.Request.Job.ID
+		return reply, nil
+	})
+	server := &peer.Server{Self: self.VM, Mux: &x, Log: zap.NewNop(), Known: func(vm.ID) bool { return true }}
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(ctx, l) })
+
+	k := fleet.NewKnowledge(vm.Presence{VM: "ip-0a000001", FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
+	k.ObserveVM(time.Now(), self, 0)
+	m := &peer.Mesh{Self: "ip-0a000001", Recorder: &report.Recorder{}, FailuresToRedial: 2, Address: func(vm.ID) (string, bool) { return l.Addr().String(), true }}
+	var own peer.Mux
+	g := group.New(time.Now(), group.Config{Knowledge: k, Syncer: &fleet.Syncer{Knowledge: k, Mesh: m, Log: zap.NewNop()}, Mesh: m, Log: zap.NewNop()}, &own)
+	running.Go(func() { g.Run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		m.Close()
+		running.Wait()
+	})
+	return &Gate{Group: g, Knowledge: k, Log: zap.NewNop(), OnAnswer: func(routes.RowName, job.Outcome, time.Duration) {}}
+}
+
+// TestRefusedOffloadIsReportedOnce: a gate told its group that the other one had refused a job, lost the call, and
+// told it again. A later try of the caller may have been offloaded in between, and the job was started beside it.
+func TestRefusedOffloadIsReportedOnce(t *testing.T) {
+	s := &standInLeader{answer: func(try int, r pool.Request) runReply {
+		notRun := pool.Answer{Outcome: job.NotRun, TryElsewhere: true}
+		switch {
+		case r.Offloaded:
+			return runReply{Answer: notRun, Answered: true, Admitted: true}
+		case try == 1:
+			notRun.OffloadTo = pool.Destination{FailureDomain: "b", VM: "ip-0a000002"}
+			return runReply{Answer: notRun, Answered: true, Admitted: true}
+		case try == 3:
+			return runReply{Admitted: true} // it lost the leadership
+		}
+		return runReply{Answer: pool.Answer{Outcome: job.Completed}, Answered: true, Admitted: true}
+	}}
+	g := s.serve(t)
+	a := g.Run(t.Context(), pool.Request{Job: job.Job{ID: "a"}, RemainingWait: 10 * time.Second})
+	if a.Outcome != job.Completed {
+		t.Fatalf("answer %+v, want completed", a)
+	}
+	var got []bool
+	for _, r := range s.calls {
+		got = append(got, r.OffloadRefused)
+	}
+	if want := []bool{false, false, true, false}; !slices.Equal(got, want) {
+		t.Errorf("calls with OffloadRefused: %v, want %v", got, want)
+	}
+}
