An overtaken list of a worker takes no run back

Cause: a renewal that was sent before a worker restarted may be carried out by its next process, beside the one sent after that, and replies on different connections may overtake each other. The list of runs in the older reply counted as the newest: a run that was adopted from the newer list was gone, and its task started again beside it. The older reply also ended the wait for the newer one, so that a third renewal was sent beside that. Change: a list does not count if its renewal was sent before that of the newest list, but the ends in it do, as they are numbered. A renewal is outstanding until its own reply.

TestOvertakenListTakesNoRunBack (run 2 is started on w0 beside run 1) and TestOvertakenRenewalIsNoReplyToTheNext (a third renewal) fail before and pass now; the rest of package pool passes but for the known TestNoTaskRunsTwiceOnUnnoticedRestart.

--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -89,7 +89,9 @@
 // handleRenewReply handles the reply to a renewal, or that none came. Ends are handled
 // before the list of runs, so that a run that is in neither is known to be gone.
 func (p *Pool) handleRenewReply(now time.Time, w *workerState, r Reply) {
-	w.renewPending = false
+	if r.Sent.Equal(w.renewSentAt) {
+		w.renewPending = false
+	}
 	if !r.Done {
 		return
 	}
@@ -99,6 +101,10 @@
 			p.handleEnd(now, w, e)
 		}
 	}
+	if r.Sent.Before(w.listSentAt) {
+		return // of a renewal from before a restart, overtaken by a newer list
+	}
+	w.listSentAt = r.Sent
 	listed := make(map[job.Task]job.Run, len(r.Running))
 	for _, t := range r.Running {
 		listed[t.Task] = t.Run
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -197,6 +197,7 @@
 	endsSeen        uint64               // ends up to this number were handled
 	renewPending    bool                 // a renewal was sent and has no reply yet
 	renewSentAt     time.Time            // when the newest renewal was sent
+	listSentAt      time.Time            // when the renewal was sent whose reply had the newest list
 	missedReplies   int                  // number of orders in a row without a reply
 	backoffUntil    time.Time            // it gets no new task before
 	failures        int                  // number of failures since a run was last done
