--- a/internal/pool/departures_test.go
+++ b/internal/pool/departures_test.go
@@ -39,8 +39,8 @@
 }
 
 const (
-	// drainMin is how long after the acknowledgement of a departure starts are allowed, as the platform states it.
-	drainMin        = 2 * time.Second
+	// drainTime is how long after the acknowledgement of a departure starts are allowed, as the platform states it.
+	drainTime       = 2 * time.Second
 	muteTime        = 5 * time.Second
 	longestStay     = time.Second // of a worker that is muted
 	muteChance      = 150         // one in so many steps
@@ -140,7 +140,7 @@
 	}
 	id := f.order.Worker
 	if !d.endsAt[id].IsZero() && d.told[departureNews{sim.pools[f.pool], id, d.leftAt[id]}] {
-		if late := sim.now.Sub(d.leftAt[id]); late > drainMin && d.lateStart == nil {
+		if late := sim.now.Sub(d.leftAt[id]); late > drainTime && d.lateStart == nil {
 			d.lateStart = fmt.Errorf("at %s run %d of task %v is ordered on %s, %s after that announced that it leaves", sim.now.Sub(time.Unix(1000, 0)), f.order.Run, f.order.Task, id, late)
 		}
 	}
@@ -150,7 +150,7 @@
 	}
 }
 
-// firstLateStart returns an error if a start was ordered on a worker later than drainMin after that
+// firstLateStart returns an error if a start was ordered on a worker later than drainTime after that
 // announced that it leaves, by a dispatcher that had been told so.
 func (d *departures) firstLateStart() error {
 	if d == nil {
@@ -196,7 +196,7 @@
 	sim := newHandoverSimulation(seed)
 	sim.handovers.gapRange = 6 * time.Second
 	sim.addDepartures(seed)
-	sim.departures.leastDrain, sim.departures.ignored = drainMin, ignored
+	sim.departures.leastDrain, sim.departures.ignored = drainTime, ignored
 	sim.departures.mutes, sim.departures.mutedUntil, sim.departures.leavesAt = rand.New(rand.NewPCG(seed, 11)), make(map[worker.ID]time.Time), make(map[worker.ID]time.Time)
 	return sim.run(handoverSteps)
 }
