A VM that drains stays so for its peers

Heartbeats go both ways between two VMs on calls of their own, and one made before a VM began to drain may arrive after one that says so. The VM counted as a candidate until its next heartbeat, and the others waited for it to claim, which prolongs the gap without a leader by up to a heartbeat. package vm keeps a process draining for the same reason. Change: Leadership.RecordHeartbeat keeps a process draining once it drains.

TestDrainingPeerDrainsOn fails before and passes now; packages lead, group and gate pass.

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -479,3 +479,22 @@
 		t.Error("all VMs have restarted, and an earlier leader counts as possible")
 	}
 }
+
+// TestDrainingPeerDrainsOn: a heartbeat from before a VM began to drain arrives after one that says so. The VM counted as a
+// candidate again, which claims no group from another, and the others waited for it.
+func TestDrainingPeerDrainsOn(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	l := New(now, vm.Presence{VM: vmID(0), Incarnation: 1})
+	peer := vm.Presence{VM: vmID(1), Incarnation: 5}
+	drains := peer
+	drains.Draining = true
+	l.RecordHeartbeat(now, drains)
+	l.RecordHeartbeat(now, peer)
+	if !l.peers[peer.VM].Draining {
+		t.Error("the VM does not drain any more")
+	}
+	peer.Incarnation++
+	if l.RecordHeartbeat(now, peer); l.peers[peer.VM].Draining {
+		t.Error("the next process of the VM drains")
+	}
+}
--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -127,6 +127,9 @@
 	if p.VM == l.self.VM || p.Incarnation < known.Incarnation && now.Sub(known.LastSeen) < vm.IncarnationTimeout {
 		return
 	}
+	if p.Incarnation == known.Incarnation && known.Draining {
+		p.Draining = true // a process that drains ends
+	}
 	l.peers[p.VM] = Peer{p, now}
 	l.recordContact(now, now)
 }
