A list made before the newest one takes no run back

Cause: judges lists by when their renewals were sent. The next process of a worker may carry out the renewal from before the restart after the newer one. If the reply to that one arrives last, its older list counted as the newest: a run that had been adopted was gone, and its task started again beside it. Change: of two renewals that were outstanding together, the lower reading of the worker's clock is of the older list, too. Renewals in sequence are not compared by readings, so a clock that goes back shuts no worker out.

TestEarlierListTakesNoRunBack fails before and passes now; the rest of package pool passes but for the known TestNoTaskRunsTwiceOnUnnoticedRestart.

--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -101,10 +101,10 @@
 			p.handleEnd(now, w, e)
 		}
 	}
-	if r.Sent.Before(w.listSentAt) {
-		return // of a renewal from before a restart, overtaken by a newer list
+	if r.Sent.Before(w.listSentAt) || r.HasClock && r.Sent.Before(w.listAt) && r.Clock < w.listClock {
+		return // two renewals were outstanding, as one is from before a restart; this list is the older one
 	}
-	w.listSentAt = r.Sent
+	w.listSentAt, w.listAt, w.listClock = r.Sent, now, r.Clock
 	listed := make(map[job.Task]job.Run, len(r.Running))
 	for _, t := range r.Running {
 		listed[t.Task] = t.Run
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -198,6 +198,8 @@
 	renewPending    bool                 // a renewal was sent and has no reply yet
 	renewSentAt     time.Time            // when the newest renewal was sent
 	listSentAt      time.Time            // when the renewal was sent whose reply had the newest list
+	listAt          time.Time            // when that reply arrived
+	listClock       worker.Clock         // its reading of the worker's clock
 	missedReplies   int                  // number of orders in a row without a reply
 	backoffUntil    time.Time            // it gets no new task before
 	failures        int                  // number of failures since a run was last done
