--- a/internal/pool/overtaken_list_test.go
+++ b/internal/pool/overtaken_list_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"tamarackpin.example/internal/worker"
 )
 
 // TestOvertakenListTakesNoRunBack: a renewal was sent to a worker before it restarted, another after that, and the next process
@@ -54,3 +56,47 @@
 		t.Errorf("%d renewals beside the outstanding one", len(renewals))
 	}
 }
+
+// TestOvertakenListUndoesNoDoneTask: a worker restarts with a start in doubt, and its next process carries out that start and two
+// renewals, the later one first. The reply to that one arrives last and lists a run whose end is known: the task was
+// running again, without any second reply (issue 53).
+func TestOvertakenListUndoesNoDoneTask(t *testing.T) {
+	h := newHarness(t, 2)
+	r := request("a", 2, time.Second)
+	r.Job.Steps[0].Need.MilliCores = 12000 // one on each worker
+	r.RemainingWait = 10 * time.Second
+	h.pool.Submit(h.now, r)
+	h.advance(5 * time.Millisecond)
+	var start, sentFirst, sentLast Order
+	orders, _ := h.takePending()
+	for _, o := range orders {
+		switch {
+		case o.Kind == StartOrder && o.Worker == "w0":
+			start = o
+		case o.Kind == StartOrder:
+			h.reply(o, Reply{Done: true})
+		case o.Worker == "w0":
+			sentFirst = o
+		}
+	}
+	h.advance(5 * time.Millisecond)
+	h.announce("w0", 2)
+	for _, o := range h.ordersOfKind(RenewOrder) {
+		if o.Worker == "w0" {
+			sentLast = o
+		}
+	}
+	if start.Worker == "" || sentFirst.Worker == "" || sentLast.Worker == "" {
+		t.Fatalf("orders are %+v, %+v and %+v, want a start and two renewals", start, sentFirst, sentLast)
+	}
+	reply := func(o Order, clock time.Duration, r Reply) {
+		r.Order, r.ReceivedAt, r.RepliedBy, r.Done, r.HasClock, r.Clock = o, h.now, 2, true, true, worker.Clock(time.Hour+clock)
+		h.pool.Receive(h.now, r)
+	}
+	h.advance(10 * time.Millisecond)
+	reply(sentFirst, 8*time.Millisecond, Reply{EndedRuns: []End{{Number: 1, Task: start.Task, Run: start.Run, Kind: EndedDone}}})
+	reply(sentLast, 5*time.Millisecond, Reply{Running: []RunningTask{{Task: start.Task, Run: start.Run}}})
+	if done := h.pool.jobs["a"].tasks[start.Task.Index]; done.phase != finished {
+		t.Errorf("the task that is done is %s", done.phase)
+	}
+}
