--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -18,7 +18,7 @@
 	starting              // the start was ordered and has no reply yet
 	running               // the worker acknowledged the start or listed the run
 	stopping              // a stop was ordered; the task may still run
-	inDoubt               // the start got no reply, so it may or may not run; it is ordered again once the worker replies, unless that leaves
+	inDoubt               // the start got no reply, so it may or may not run; it is ordered again once the worker replies, unless the worker leaves
 	finished              // done, or its job is closed; a failed run of an open job leads back to waiting
 )
 
