Terms of the field, and one setup for the tests of overtaken lists

Change: the usual terms; renewalsAroundRestart has the steps. No logic is changed, and no check or bound of a test.

--- a/internal/pool/departures_test.go
+++ b/internal/pool/departures_test.go
@@ -27,7 +27,7 @@
 	leavesAt   map[worker.ID]time.Time // of muted workers
 	leftAt     map[worker.ID]time.Time // when the present departure was announced
 	told       map[departureNews]bool
-	ignored    bool  // dispatchers go on as if no worker left
+	ignored    bool  // dispatchers are not notified of departures
 	lateStart  error // of the first start that was ordered too late on a worker that leaves
 }
 
@@ -126,7 +126,7 @@
 	}
 }
 
-// tell records that a dispatcher is told of the departure of a worker, if that leaves.
+// tell records that a dispatcher is notified of the departure of a worker, if the worker leaves.
 func (d *departures) tell(p *Pool, s *simWorker) {
 	if d != nil && !d.endsAt[s.id].IsZero() {
 		d.told[departureNews{p, s.id, d.leftAt[s.id]}] = true
--- a/internal/pool/earlier_list_test.go
+++ b/internal/pool/earlier_list_test.go
@@ -10,15 +10,7 @@
 // TestEarlierListTakesNoRunBack: of two renewals that the next process of a worker carries out, the one sent first is carried out
 // last, and its reply arrives first. The run that it lists was taken for gone by the earlier list, and its task was started beside it.
 func TestEarlierListTakesNoRunBack(t *testing.T) {
-	h := newHarness(t, 2)
-	h.advance(5 * time.Millisecond)
-	w := h.pool.workers["w0"]
-	w.runsKnown = false
-	h.pool.poll(h.now, w)
-	sentFirst := h.ordersOfKind(RenewOrder)[0]
-	h.advance(5 * time.Millisecond)
-	h.announce("w0", 2)
-	sentLast := h.ordersOfKind(RenewOrder)[0]
+	h, sentFirst, sentLast := renewalsAroundRestart(t)
 	reply := func(o Order, clock time.Duration, running ...RunningTask) {
 		h.pool.Receive(h.now, Reply{Order: o, ReceivedAt: h.now, RepliedBy: 2, Done: true, HasClock: true, Clock: worker.Clock(time.Hour + clock), Running: running})
 	}
--- a/internal/pool/overtaken_list_test.go
+++ b/internal/pool/overtaken_list_test.go
@@ -7,22 +7,28 @@
 	"tamarackpin.example/internal/worker"
 )
 
-// TestOvertakenListTakesNoRunBack: a renewal was sent to a worker before it restarted, another after that, and the next process
-// carries out both. The reply to the first arrives last, on another connection. A run that the second had listed was
-// taken for gone, and its task was started beside it.
-func TestOvertakenListTakesNoRunBack(t *testing.T) {
-	h := newHarness(t, 2)
+// renewalsAroundRestart returns a harness in which w0 has restarted, with the renewals that were sent to it before and after that.
+func renewalsAroundRestart(t *testing.T) (h *harness, before, after Order) {
+	h = newHarness(t, 2)
 	h.advance(5 * time.Millisecond)
 	w := h.pool.workers["w0"]
 	w.runsKnown = false
 	h.pool.poll(h.now, w)
-	overtaken := h.ordersOfKind(RenewOrder)[0]
+	before = h.ordersOfKind(RenewOrder)[0]
 	h.advance(5 * time.Millisecond)
 	h.announce("w0", 2)
-	newest := h.ordersOfKind(RenewOrder)[0]
-	if overtaken.Worker != "w0" || newest.Worker != "w0" || !overtaken.Sent.Before(newest.Sent) {
-		t.Fatalf("renewals are %+v and %+v, want one before the restart and one after it", overtaken, newest)
+	after = h.ordersOfKind(RenewOrder)[0]
+	if before.Worker != "w0" || after.Worker != "w0" || !before.Sent.Before(after.Sent) {
+		t.Fatalf("renewals are %+v and %+v, want one before the restart and one after it", before, after)
 	}
+	return h, before, after
+}
+
+// TestOvertakenListTakesNoRunBack: a renewal was sent to a worker before it restarted, another after that, and the next process
+// carries out both. The reply to the first arrives last, on another connection. A run that the second had listed was
+// taken for gone, and its task was started beside it.
+func TestOvertakenListTakesNoRunBack(t *testing.T) {
+	h, overtaken, newest := renewalsAroundRestart(t)
 	h.advance(5 * time.Millisecond)
 	h.replyBy(newest, 2, Reply{Done: true, Running: []RunningTask{inheritedRun}})
 	h.pool.Submit(h.now, patientRequest(time.Second)) // adopts the run
--- a/internal/pool/reply.go
+++ b/internal/pool/reply.go
@@ -112,7 +112,7 @@
 			p.stopTask(now, t)
 		}
 	case !t.ackedAt.IsZero():
-		// The worker has listed this run; the next list tells whether it goes on.
+		// The worker has listed this run; the next list shows whether it still runs.
 	default:
 		// The worker did not start the task and won't: a refusal is final.
 		p.requeue(t)
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -228,7 +228,7 @@
 	return rec
 }
 
-// tell passes on to a dispatcher what control VMs know of a worker.
+// tell sends a dispatcher the record that control VMs have of a worker.
 func (sim *simulation) tell(p *Pool, s *simWorker) {
 	sim.departures.tell(p, s)
 	p.UpdateWorker(sim.now, sim.record(s))
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -219,7 +219,7 @@
 //
 // The platform allows starts on a worker for some time after its departure was acknowledged. A
 // dispatcher uses none of it, as the news may reach it late by as much, and a run might be lost
-// with the worker. Runs that go on there, adopted ones too, are left alone and their
+// with the worker. Runs that continue there, adopted ones too, are left alone and their
 // leases extended.
 func (w *workerState) takesStarts() bool {
 	return w.announced && !w.stale && !w.leaves() && w.missedReplies == 0
--- a/internal/worker/connection_test.go
+++ b/internal/worker/connection_test.go
@@ -56,7 +56,7 @@
 				sent = now.Add(between(minIdle, time.Minute))
 			}
 			if n > 0 && clock.Behind(sent, 1, last) == 0 {
-				t.Fatalf("the second reply with the reading %s counts as that to an order sent %s after the first", time.Duration(last), sent.Sub(now))
+				t.Fatalf("the second reply with the reading %s is accepted as the reply to an order sent %s after the first", time.Duration(last), sent.Sub(now))
 			}
 			replied := sent.Add(between(0, 300*time.Millisecond))
 			exact += speed * float64(replied.Sub(now))
