--- a/internal/pool/incarnation.go
+++ b/internal/pool/incarnation.go
@@ -107,7 +107,7 @@
 		lateOrdersUntil = later(lateOrdersUntil, t.orderedAt.Add(lateOrderLimit))
 	}
 	*w = workerState{
-		Record: rec, tasks: w.tasks, orphans: make(map[job.Task]job.Run), free: w.free.Add(rec.Capacity.Sub(w.Capacity)), knownSince: w.knownSince,
+		Record: rec, tasks: w.tasks, orphans: make(map[job.Task]job.Run), free: w.free.Add(rec.Capacity.Sub(w.Capacity)), knownSince: w.knownSince, listedEarlier: w.listed || w.listedEarlier,
 		// The clock starts anew: a lease deadline on the predecessor's clock lies
 		// far ahead on that of the new incarnation.
 		lateOrdersUntil: lateOrdersUntil, leasesUntil: lateOrdersUntil,
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -170,6 +170,7 @@
 	AssignedTo    worker.ID     // worker on which this Pool has the task; empty if none
 	TaskPhase     string        // phase that the task had; empty if this Pool does not have its job
 	KnownFor      time.Duration // how long this Pool has known the worker
+	ListedBefore  bool          // the worker had listed its runs since the takeover without this one, in any incarnation
 	SinceTakeover time.Duration
 }
 
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -159,7 +159,7 @@
 
 // recordFound records a run that w lists and that is not assigned to it.
 func (p *Pool) recordFound(now time.Time, w *workerState, row RunningTask) {
-	f := FoundRun{Task: row.Task, Run: row.Run, Worker: w.Worker, Incarnation: w.Incarnation, KnownFor: now.Sub(w.knownSince), SinceTakeover: now.Sub(p.startedAt)}
+	f := FoundRun{Task: row.Task, Run: row.Run, Worker: w.Worker, Incarnation: w.Incarnation, KnownFor: now.Sub(w.knownSince), ListedBefore: w.listed || w.listedEarlier, SinceTakeover: now.Sub(p.startedAt)}
 	if t := p.task(row.Task); t != nil {
 		f.TaskPhase = t.phase.String()
 		if t.worker != nil {
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -186,6 +186,7 @@
 
 	knownSince      time.Time            // when the Pool first heard of the worker, in any incarnation
 	listed          bool                 // this incarnation has listed its runs since the takeover
+	listedEarlier   bool                 // so has an earlier incarnation
 	lateOrdersUntil time.Time            // until then, late orders may extend leases on a new incarnation
 	roomRefusals    int                  // number of starts refused for want of room since a run ended or it announced itself
 	roomRetryAt     time.Time            // it gets no new task before, after such a refusal
--- a/tamarackpin/internal/group/log.go
+++ b/tamarackpin/internal/group/log.go
@@ -154,7 +154,7 @@
 	for _, f := range s.pool.TakeFound() {
 		event.Log(g.config.Log, event.RunFound, zap.String("job", string(f.Task.Job)), zap.Int("step", f.Task.Step), zap.Int("index", f.Task.Index),
 			zap.Int("run", int(f.Run)), zap.String("worker", string(f.Worker)), zap.Int64("incarnation", int64(f.Incarnation)),
-			zap.Duration("worker_known_for", f.KnownFor), zap.Duration("after_takeover", f.SinceTakeover),
+			zap.Duration("worker_known_for", f.KnownFor), zap.Bool("listed_before", f.ListedBefore), zap.Duration("after_takeover", f.SinceTakeover),
 			zap.String("assigned_to", string(f.AssignedTo)), zap.String("task_phase", f.TaskPhase), zap.Int64("fence", int64(s.leadership.Claim().Fence)))
 	}
 }
