A forwarded job waits until its earlier dispatcher's runs are over

Cause, in what left: a list of runs, or of workers, is complete as of a moment, and the earlier dispatcher orders more until it hears of the takeover. Its order reaches a worker that restarted after it had listed its runs, and so has seen no newer fence, or one that the next dispatcher does not know yet. The next one counted all runs as known and started the task elsewhere.

Change: lists tell what to adopt, and shorten nothing. Other tasks of a forwarded job start once the runs of its earlier dispatchers are over by time, counted from the newest message of the gate that they may have received (Request.EarlierContactAge; 0 for gates that do not tell). That also replaces the special case of a new division.

--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -18,7 +18,7 @@
 		j.callerDeadline = later(j.callerDeadline, now.Add(r.RemainingWait))
 		j.gate.HeardAt = later(j.gate.HeardAt, r.GateHeardAt)
 		if r.MayBeRunning {
-			p.recordForward(now, j)
+			p.recordForward(now, j, r.EarlierContactAge)
 		}
 		return j.admission
 	}
@@ -29,7 +29,7 @@
 	j := &jobState{Request: r, admission: Admission{r.Job.ID, p.lastAdmission}, arrivedAt: now.Add(-r.Age), callerDeadline: now.Add(r.RemainingWait)}
 	j.gate.HeardAt = r.GateHeardAt
 	if r.MayBeRunning {
-		p.recordForward(now, j)
+		p.recordForward(now, j, r.EarlierContactAge)
 	}
 	j.mayHaveStarted = j.mayHaveStarted || p.newlyDivided(now)
 	j.expectedWork = j.criticalPath(func(s *job.Step) time.Duration { return p.estimator.Work(r.Row, s) })
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -23,6 +23,9 @@
 	Age           time.Duration // time since the caller sent it
 	RemainingWait time.Duration `json:"Patience"` // how much longer the caller waits
 	MayBeRunning  bool          `json:"MayRun"`   // it was forwarded to another dispatcher before, so its tasks may be running
+	// EarlierContactAge is how long ago, when the message was made, the gate of a job that may be running
+	// last sent something that an earlier dispatcher of the job may have received. Builds without it send 0.
+	EarlierContactAge time.Duration `json:",omitempty"`
 	// CanOffload reports that another group may have room: the job is returned at
 	// once, to be offloaded, if it would be late here.
 	CanOffload bool `json:"Elsewhere"`
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -67,9 +67,8 @@
 // deadline, then those expected to miss it, each by that deadline and then by id.
 func (p *Pool) readyJobs(now time.Time) []readyJob {
 	var list []readyJob
-	unknownRuns := p.lacksRunLists(now) || p.mayRunInOtherGroups(now)
 	for _, j := range p.jobs {
-		if !j.closed && j.hasWaitingTasks() && !p.gateSilent(now, j) && (!unknownRuns || j.earlierRunsOver(now)) {
+		if !j.closed && j.hasWaitingTasks() && !p.gateSilent(now, j) && j.earlierRunsOver(now) {
 			list = append(list, readyJob{j, j.queueClass(now)})
 		}
 	}
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -24,22 +24,6 @@
 	return slices.ContainsFunc(p.byID, func(w *workerState) bool { return p.unlisted(now, w) })
 }
 
-// lacksRunLists reports whether some worker may have runs that this Pool does not know. Once leasesOver,
-// these can only be of jobs that their gates forwarded here from another dispatcher since, see jobState.mayRunUntil.
-func (p *Pool) lacksRunLists(now time.Time) bool {
-	return p.config.WorkersIncomplete || p.anyUnlisted(now)
-}
-
-// mayRunInOtherGroups reports whether a forwarded job may be running on a worker that the last division moved to
-// another group, under a dispatcher that has not received that division.
-func (p *Pool) mayRunInOtherGroups(now time.Time) bool {
-	return now.Sub(p.config.DividedAt) < divisionSpreadTime
-}
-
-// divisionSpreadTime bounds the time until all VMs have received a division: longer than the partitions that the
-// platform states.
-const divisionSpreadTime = 30 * time.Second
-
 // leasesOver reports whether all leases that earlier dispatchers obtained have lapsed, given that
 // these were fenced, or have stepped down for want of contact, within recoveryDelay less a lease.
 func (p *Pool) leasesOver(now time.Time) bool { return now.Sub(p.startedAt) >= recoveryDelay }
@@ -50,15 +34,16 @@
 	return j.mayHaveStarted || p.mayHaveUnknownRuns(now)
 }
 
-// recordForward records that a gate has just forwarded j from another dispatcher, whose runs of j may
-// continue until their leases expire.
-func (p *Pool) recordForward(now time.Time, j *jobState) {
+// recordForward records that a gate has just forwarded j from another dispatcher, which last heard the gate
+// contactAge ago at the latest. Until its leases expire it may start tasks of j, also on workers that have
+// listed their runs here, since one that restarts has not seen this Pool's fence, and on workers that are not known here.
+func (p *Pool) recordForward(now time.Time, j *jobState, contactAge time.Duration) {
 	j.MayBeRunning, j.mayHaveStarted = true, true
-	j.mayRunUntil = later(now.Add(callerRetryDelay), p.startedAt.Add(recoveryDelay))
+	j.mayRunUntil = later(j.mayRunUntil, now.Add(callerRetryDelay-contactAge))
 }
 
 // earlierRunsOver reports whether all runs of j that earlier dispatchers ordered have ended, including those that no
-// worker has listed. A later dispatcher to which a gate forwarded j before mayRunUntil may have extended it.
+// worker has listed. A later dispatcher to which a gate forwarded j before mayRunUntil may have extended them.
 func (j *jobState) earlierRunsOver(now time.Time) bool {
 	return !now.Before(j.mayRunUntil) && !j.gate.ConfirmedAt.Before(j.mayRunUntil)
 }
