pool: the premise of forwarded jobs that start at once

Three tests promised a forwarded job a start as soon as all workers have listed their runs. TestForwardedJobKeepsItsPlace and TestForwardedJobDoesNotWaitForEndedWorker now state that this contact ended callerRetryDelay before. TestForwardedJobWaitsForPredecessor checks the start to a step of 5 ms, with and without all lists, for six ages of the contact, also one that is negative.

--- a/internal/pool/begun_test.go
+++ b/internal/pool/begun_test.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// TestForwardedJobKeepsItsPlace: after a takeover a job that the earlier dispatcher may have begun waits for the
-// lists of the workers, and is late. New jobs took each slot until its caller's deadline (TestWholePath:
+// TestForwardedJobKeepsItsPlace: after a takeover a job that the earlier dispatcher may have begun waits until its
+// runs there are over, and is late. New jobs took each slot until its caller's deadline (TestWholePath:
 // 504 after 3 s).
 func TestForwardedJobKeepsItsPlace(t *testing.T) {
 	h := newHarness(t, 1)
@@ -56,7 +56,7 @@
 		h.reply(o, Reply{Done: true})
 	}
 	r := request("forwarded", 1, 60*time.Millisecond)
-	r.MayBeRunning, r.Age = true, 1500*time.Millisecond
+	r.MayBeRunning, r.EarlierContactAge, r.Age = true, callerRetryDelay, 1500*time.Millisecond
 	h.pool.Submit(h.now, r)
 	h.pool.Submit(h.now, request("new", 1, 60*time.Millisecond))
 	h.advance(20 * time.Millisecond)
--- a/internal/pool/takeover_test.go
+++ b/internal/pool/takeover_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -185,32 +186,37 @@
 }
 
 // TestForwardedJobWaitsForPredecessor: a gate learned of a takeover late and forwarded a job that the earlier
-// dispatcher was running on a worker that only it reached; the next one started the job at once (issue 50).
+// dispatcher was running on a worker that only it reached; the next one started the job at once (issue 50). That all workers
+// have listed their runs is no proof either, as the earlier dispatcher may start the job after that (issue 57). The job
+// waits for callerRetryDelay after the gate's last contact with that one, which may be over when it is forwarded.
 func TestForwardedJobWaitsForPredecessor(t *testing.T) {
-	for _, listed := range []bool{true, false} {
-		h, unlisted := takeOver(t)
-		if listed {
-			h.reply(unlisted, Reply{Done: true})
-		}
-		h.advance(2 * recoveryDelay)
-		forwarded := patientRequest(10 * time.Second)
-		forwarded.Job.ID, forwarded.MayBeRunning = "forwarded", true
-		other := patientRequest(10 * time.Second)
-		other.Job.ID = "other"
-		h.pool.Submit(h.now, forwarded)
-		h.pool.Submit(h.now, other)
-		h.advance(callerRetryDelay - 10*time.Millisecond)
-		started := make(map[job.ID]bool)
-		for _, o := range h.ordersOfKind(StartOrder) {
-			started[o.Task.Job] = true
-		}
-		if !started["other"] || started["forwarded"] != listed {
-			t.Errorf("all workers have listed their runs: %v; jobs started: %v", listed, started)
-		}
-		h.announce("w0", 1)
-		h.advance(20 * time.Millisecond)
-		if list := h.ordersOfKind(StartOrder); !listed && len(list) != 1 {
-			t.Errorf("starts once an earlier run is over: %+v, want 1", list)
+	for _, contactAge := range []time.Duration{-time.Second, 0, 400 * time.Millisecond, callerRetryDelay - 5*time.Millisecond, callerRetryDelay, time.Minute} {
+		for _, listed := range []bool{true, false} {
+			h, unlisted := takeOver(t)
+			if listed {
+				h.reply(unlisted, Reply{Done: true})
+			}
+			h.advance(2 * recoveryDelay)
+			h.announce("w0", 1)
+			forwarded := patientRequest(10 * time.Second)
+			forwarded.Job.ID, forwarded.MayBeRunning, forwarded.EarlierContactAge = "forwarded", true, contactAge
+			other := patientRequest(10 * time.Second)
+			other.Job.ID = "other"
+			h.pool.Submit(h.now, forwarded)
+			h.pool.Submit(h.now, other)
+			forwardedAt := h.now
+			startedAfter := make(map[job.ID]time.Duration)
+			for h.now.Sub(forwardedAt) < 2*callerRetryDelay {
+				for _, o := range h.ordersOfKind(StartOrder) {
+					startedAfter[o.Task.Job] = h.now.Sub(forwardedAt)
+				}
+				h.announce("w0", 1)
+				h.advance(5 * time.Millisecond)
+			}
+			want := map[job.ID]time.Duration{"other": 0, "forwarded": min(max(0, callerRetryDelay-contactAge), callerRetryDelay)}
+			if !maps.Equal(startedAfter, want) {
+				t.Errorf("contact until %s before the forward, all workers have listed their runs: %v; jobs start after %v, want %v", contactAge, listed, startedAfter, want)
+			}
 		}
 	}
 }
--- a/internal/pool/unstopped_test.go
+++ b/internal/pool/unstopped_test.go
@@ -193,7 +193,8 @@
 }
 
 // TestForwardedJobDoesNotWaitForEndedWorker: a worker that crashed is known under its old name, at an
-// address where another one refuses its orders. Forwarded jobs waited 1.5 s for its list.
+// address where another one refuses its orders. Forwarded jobs waited 1.5 s for its list, also if the contact of their
+// gates with earlier dispatchers ended long before.
 func TestForwardedJobDoesNotWaitForEndedWorker(t *testing.T) {
 	h := newHarness(t, 1)
 	h.announce("ended", 1)
@@ -201,7 +202,7 @@
 		h.reply(o, Reply{Refusal: RefusedIncarnation})
 	}
 	r := patientRequest(time.Second)
-	r.MayBeRunning = true
+	r.MayBeRunning, r.EarlierContactAge = true, callerRetryDelay
 	h.pool.Submit(h.now, r)
 	h.advance(10 * time.Millisecond)
 	if starts := h.ordersOfKind(StartOrder); len(starts) != 1 {
