Gates tell how long ago an earlier dispatcher can have heard them

Forwarded jobs wait from the newest contact that an earlier dispatcher may have seen. Counted from the forward, that is the whole time after each loss of a dispatcher. A gate now records what it shows each VM by the stamps of its messages. The time in them stands still while that VM leaves calls unanswered for exchangeTimeout, or while the connection has failed, so when a lost dispatcher is replaced most of the wait is over. The field is left out for VMs that have not said in a reply that they read it, since earlier builds refuse unknown fields.

A dispatcher that is replaced and can be asked says which jobs were never started, by it or before it: in its reply when it drops its pool, and to a gate that withdraws a job as another dispatcher has taken over (at most 100 ms, and only if that VM answers). Those are forwarded as new jobs and do not wait. So orderly handovers keep their times.

--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -110,6 +110,12 @@
 	}
 }
 
+// NeverStarted reports whether a is the current admission of a job of which no dispatcher has started a task.
+func (p *Pool) NeverStarted(now time.Time, a Admission) bool {
+	j := p.jobs[a.Job]
+	return j != nil && j.admission == a && !j.closed && !p.mayHaveStarted(now, j) && !p.hasLateStart(now, j)
+}
+
 // Withdraw closes a job without an answer, if a is its current admission: no caller
 // waits for it any more.
 func (p *Pool) Withdraw(now time.Time, a Admission) {
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -39,7 +39,9 @@
 // listed their runs here, since one that restarts has not seen this Pool's fence, and on workers that are not known here.
 func (p *Pool) recordForward(now time.Time, j *jobState, contactAge time.Duration) {
 	j.MayBeRunning, j.mayHaveStarted = true, true
-	j.mayRunUntil = later(j.mayRunUntil, now.Add(callerRetryDelay-contactAge))
+	if contactAge < callerRetryDelay {
+		j.mayRunUntil = later(j.mayRunUntil, now.Add(callerRetryDelay-max(0, contactAge)))
+	}
 }
 
 // earlierRunsOver reports whether all runs of j that earlier dispatchers ordered have ended, including those that no
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -119,6 +119,7 @@
 	noLeaderSince := time.Time{}
 	offloadTried := false
 	failures := 0
+	var earlier []group.Leader // that may have started the job
 	for {
 		now := time.Now()
 		r.Age, r.RemainingWait = age+now.Sub(startedAt), deadline.Sub(now)
@@ -135,6 +136,9 @@
 		noLeaderSince = time.Time{}
 		spare, hasSpare := g.Knowledge.SelectSpareGroup(now, leader.Group)
 		r.CanOffload, r.OffloadTo = hasSpare && !offloadTried && !r.MayBeRunning, spare.Destination()
+		if r.MayBeRunning {
+			r.EarlierContactAge = g.Group.ContactAge(now, earlier, leader)
+		}
 		result := g.forward(ctx, leader, changed, deadline, r)
 		if result.Answered && !result.Answer.TryElsewhere {
 			return result.Answer
@@ -150,6 +154,7 @@
 		r.MayBeRunning = r.MayBeRunning || result.MayBeRunning
 		if result.MayBeRunning {
 			r.OffloadRefused = false // reported by this call; a later try may have been offloaded since
+			earlier = append(earlier, leader)
 		}
 		if result.DispatcherFailed {
 			failures++
@@ -218,8 +223,8 @@
 // claim supersedes the leader's. When [Gate.ReleaseWaiting] is called, the leader is asked to answer the
 // job unless it has started.
 func (g *Gate) forward(ctx context.Context, leader group.Leader, changed <-chan struct{}, deadline time.Time, r pool.Request) group.ForwardResult {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	number := g.lastCall.Add(1)
 	_, released := g.shutdownState()
 	go func() {
@@ -236,7 +241,7 @@
 			}
 			var current group.Leader
 			if current, changed = g.Group.Leader(r.Job.ID); supersedes(current, leader) {
-				cancel()
+				cancel(group.ErrSuperseded)
 			}
 		}
 	}()
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -35,7 +35,7 @@
 			event.Log(g.config.Log, event.LeadTaken, zap.Int("group", i), zap.Int64("fence", int64(claim.Fence)), zap.Int("living", len(s.leadership.LivePeers(now))),
 				zap.Bool("workers_incomplete", incomplete), zap.Bool("first", first), zap.Any("control_news_seconds", g.config.Syncer.ContactAges(now)),
 				zap.Any("peer_news_seconds", s.leadership.PeerAges(now)))
-			s.dropPool()
+			s.dropPool(now)
 			s.pool = pool.New(now, pool.Config{
 				Fence: claim.Fence, LeaseMax: g.config.LeaseMax, StopMax: g.config.StopMax, DividedAt: g.dividedAt, WorkersIncomplete: incomplete, FirstDispatcher: first, Crashes: &g.crashes, LateStarts: &g.lateStarts,
 				GateContact: func(now time.Time, a pool.Admission) pool.GateContact { return g.gateContact(now, s.waiters[a]) },
@@ -118,7 +118,7 @@
 	event.Log(g.config.Log, event.WorkersDivided, zap.Int64("epoch", int64(d.Epoch)), zap.Int("groups", d.GroupCount()), zap.Int("before", g.division.GroupCount()))
 	first := g.groups[0].leadership
 	for _, s := range g.groups {
-		s.dropPool()
+		s.dropPool(now)
 	}
 	g.groups = nil
 	for range d.GroupCount() {
--- a/tamarackpin/internal/group/contain.go
+++ b/tamarackpin/internal/group/contain.go
@@ -17,7 +17,8 @@
 		for _, s := range g.groups {
 			if s.pool != nil {
 				s.leadership.StepDown(now)
-				s.dropPool()
+				s.pool = nil // so that dropPool does not ask it
+				s.dropPool(now)
 			}
 		}
 		g.publish(now)
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -50,6 +50,9 @@
 	Made          stamp         `json:"made,omitzero"`
 	// Echo is the stamp of the newest heartbeat of the receiver that arrived before.
 	Echo stamp `json:"echo,omitzero"`
+	// ReadsContactAge is set in replies only, as earlier builds refuse calls with fields that they don't know. The sender
+	// reads the field EarlierContactAge of a forwarded request.
+	ReadsContactAge bool `json:"reads_contact_age,omitempty"`
 }
 
 // heartbeat returns a heartbeat for another entry VM.
@@ -184,7 +187,7 @@
 func (g *Group) serveExchange(ctx context.Context, _ vm.ID, hb heartbeat) (heartbeat, error) {
 	g.receiveHeartbeat(ctx, hb)
 	reply := g.heartbeat(hb.Self.VM)
-	reply.Made = g.stampAt(time.Now())
+	reply.Made, reply.ReadsContactAge = g.replyStamp(hb.Self.VM, time.Now()), true
 	return reply, nil
 }
 
@@ -194,7 +197,11 @@
 func (g *Group) receiveHeartbeat(ctx context.Context, hb heartbeat) {
 	now := time.Now()
 	g.recordExchange(now, hb.Self.VM)
-	madeAt := g.contacts.record(now, process{hb.Self.VM, hb.Self.Incarnation}, hb.Made)
+	sender := process{hb.Self.VM, hb.Self.Incarnation}
+	madeAt := g.contacts.record(now, sender, hb.Made)
+	if hb.ReadsContactAge {
+		g.contacts.update(sender, func(c *lastContact) { c.readsContactAge = true })
+	}
 	g.config.Knowledge.ObserveVM(now, hb.Self, 0)
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.applyHeartbeat(now, hb) })
 	g.config.Syncer.TableAnnounced(ctx, hb.Self.VM, hb.Version)
--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -29,6 +29,13 @@
 // errOtherJob is the error of a call whose answer names another job. What became of its own is unknown.
 var errOtherJob = errors.New("the answer names another job")
 
+// ErrSuperseded is the cause with which a gate cancels the context of [Group.Forward] when another dispatcher has taken over.
+var ErrSuperseded = errors.New("another dispatcher has taken over")
+
+// supersededTimeout bounds the wait for a dispatcher that has been replaced to tell whether it has started a job. The
+// next dispatcher keeps the runs of the job meanwhile (orphanGrace of package pool).
+const supersededTimeout = 100 * time.Millisecond
+
 // withdrawTimeout bounds the notification of a leader that a job is withdrawn.
 const withdrawTimeout = time.Second
 
@@ -65,7 +72,11 @@
 		return ForwardResult{Err: err}
 	}
 	if to.VM != g.self.VM {
-		go g.notifyWithdrawn(context.WithoutCancel(ctx), to.VM, withdrawal{req.Ticket, r.Job.ID})
+		w := withdrawal{req.Ticket, r.Job.ID}
+		if errors.Is(context.Cause(ctx), ErrSuperseded) && g.contacts.isAnswering(to.VM, time.Now()) && g.withdrawUnstarted(context.WithoutCancel(ctx), to.VM, w) {
+			return ForwardResult{Err: err}
+		}
+		go g.notifyWithdrawn(context.WithoutCancel(ctx), to.VM, w)
 	}
 	var failure *code.Error
 	panicked := errors.As(err, &failure) && failure.Code == code.Internal
@@ -105,6 +116,18 @@
 	clear(g.lastAnswers)
 }
 
+// withdrawUnstarted withdraws a job from a dispatcher and reports whether that one says that it, and the dispatchers before it, have
+// never started the job.
+func (g *Group) withdrawUnstarted(ctx context.Context, from vm.ID, w withdrawal) bool {
+	ctx, cancel := context.WithTimeout(ctx, supersededTimeout)
+	defer cancel()
+	reply, err := peer.Call[withdrawalReply](ctx, g.config.Mesh, from, report.UseForward, methodWithdraw, w)
+	if err != nil {
+		g.config.Log.Debug("a replaced dispatcher did not tell whether it has started a job", zap.String("job", string(w.Job)), zap.String("vm", string(from)), event.Err(err))
+	}
+	return err == nil && reply.NeverStarted
+}
+
 func (g *Group) notifyWithdrawn(ctx context.Context, leader vm.ID, w withdrawal) {
 	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 	defer cancel()
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -155,7 +155,7 @@
 		select {
 		case <-ctx.Done():
 			for _, s := range g.groups {
-				s.dropPool()
+				s.dropPool(time.Now())
 			}
 			return
 		case c := <-g.ring.Out():
@@ -275,7 +275,7 @@
 		if !s.leadership.IsLeader() {
 			event.Log(g.config.Log, event.LeadLost, zap.Int("group", i), zap.Bool("refused", s.pool.Fenced()), zap.Int64("newer_fence", int64(s.leadership.Claim().Fence)),
 				zap.String("newer_vm", string(s.leadership.Claim().VM)), zap.String("refused_by", string(s.pool.FencedBy())), zap.Any("peer_news_seconds", s.leadership.PeerAges(now)))
-			s.dropPool()
+			s.dropPool(now)
 		}
 	}
 	g.publish(now)
--- a/tamarackpin/internal/group/last_contact.go
+++ b/tamarackpin/internal/group/last_contact.go
@@ -19,6 +19,7 @@
 	mu        sync.Mutex // guards the fields below
 	processes map[process]lastContact
 	newest    map[vm.ID]stamp // of the newest message of each VM
+	shown     map[vm.ID]shownContact
 }
 
 // process is one process of a VM.
@@ -34,9 +35,17 @@
 	confirmedAt time.Time
 	startedAt   time.Time // estimate of its start, on the clock of this process: later than that by the least delay of a message
 	arrivedAt   time.Time // of the newest message
+	// readsContactAge reports that the process reads the field EarlierContactAge of pool.Request.
+	readsContactAge bool
 }
 
-// stamp tells when a process made a message, on its own clock.
+// shownContact is what this process has shown another VM of its being in contact.
+type shownContact struct {
+	until           time.Time // the newest time that a stamp told
+	unansweredSince time.Time // when the first call was made since that VM was last heard; zero if there was none
+}
+
+// stamp tells when a process made a message, on its own clock, or an earlier time: see lastContacts.show.
 type stamp struct {
 	Incarnation vm.Incarnation `json:"incarnation"`
 	Age         wire.Duration  `json:"age"` // of the process
@@ -57,12 +66,89 @@
 // stampFor returns the stamp of a call that is made now. It is zero, and left out, until the VM has sent one: earlier
 // builds refuse calls with fields that they don't know. Replies always have one.
 func (g *Group) stampFor(to vm.ID, now time.Time) stamp {
+	if to == g.self.VM {
+		return stamp{} // see contactOf
+	}
+	shown := g.contacts.show(to, now, g.config.Mesh.Connected(to))
 	if g.contacts.newestOf(to) == (stamp{}) {
 		return stamp{}
 	}
+	return g.stampAt(shown)
+}
+
+// replyStamp returns the stamp of a reply that is made now.
+func (g *Group) replyStamp(to vm.ID, now time.Time) stamp {
+	g.contacts.showReply(to, now)
 	return g.stampAt(now)
 }
 
+// show returns the time for the stamp of a call to a VM, and records it. The dispatcher there starts the tasks of this
+// gate's jobs, and extends their leases, by the newest such time. It stands still while that VM does not answer for
+// longer than exchangeTimeout, or the connection has failed: it may be replaced soon, and jobs wait less at the next
+// dispatcher then.
+func (s *lastContacts) show(to vm.ID, now time.Time, connected bool) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.shown[to]
+	switch limit := c.unansweredSince.Add(exchangeTimeout); {
+	case c.unansweredSince.IsZero():
+		c.unansweredSince, c.until = now, now
+	case !connected:
+	case now.Before(limit):
+		c.until = now
+	case c.until.Before(limit):
+		c.until = limit
+	}
+	s.setShown(to, c)
+	return c.until
+}
+
+// showReply records that a reply to a VM that was just heard has the present time.
+func (s *lastContacts) showReply(to vm.ID, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setShown(to, shownContact{until: now})
+}
+
+// setShown sets the contact that was shown to a VM. s.mu is held.
+func (s *lastContacts) setShown(to vm.ID, c shownContact) {
+	if s.shown == nil {
+		s.shown = make(map[vm.ID]shownContact)
+	}
+	s.shown[to] = c
+}
+
+// isAnswering reports whether no call to a VM has been without an answer for exchangeTimeout.
+func (s *lastContacts) isAnswering(id vm.ID, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := s.shown[id].unansweredSince
+	return since.IsZero() || now.Sub(since) < exchangeTimeout
+}
+
+// ContactAge returns how long ago this VM last showed contact to any dispatcher, other than the one in to, that has had a job. It
+// returns zero if the VM in to can't read it, and at most contactLifetime.
+func (g *Group) ContactAge(now time.Time, earlier []Leader, to Leader) time.Duration {
+	c := &g.contacts
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if to.VM != g.self.VM && !c.processes[process{to.VM, c.newest[to.VM].Incarnation}].readsContactAge {
+		return 0
+	}
+	age := contactLifetime
+	for _, l := range earlier {
+		if l.Claim == to.Claim {
+			continue
+		}
+		at := c.shown[l.VM].until
+		if at.IsZero() { // this VM itself, too
+			return 0
+		}
+		age = min(age, now.Sub(at))
+	}
+	return age
+}
+
 // stampedAt returns when this process made a stamp, or the zero time if another one did.
 func (g *Group) stampedAt(s stamp) time.Time {
 	if s.Incarnation != g.self.Incarnation {
@@ -104,6 +190,10 @@
 			delete(s.newest, p.vm) // it may have gone back to an earlier build
 		}
 		v.arrivedAt = now
+		if c, shown := s.shown[p.vm]; shown {
+			c.unansweredSince = time.Time{}
+			s.shown[p.vm] = c
+		}
 		if sentAt.After(v.heardAt) {
 			v.heardAt = sentAt
 		}
--- a/tamarackpin/internal/group/late_starts_test.go
+++ b/tamarackpin/internal/group/late_starts_test.go
@@ -30,7 +30,7 @@
 func TestRestartedVMLearnsLateStartsFromFollower(t *testing.T) {
 	follower, other := twoVMs(t, "a")
 	for _, s := range follower.groups {
-		s.dropPool()
+		s.dropPool(time.Now())
 	}
 	now := time.Now()
 	task := job.Task{Job: "late"}
--- a/tamarackpin/internal/group/log.go
+++ b/tamarackpin/internal/group/log.go
@@ -24,7 +24,7 @@
 	}
 	event.Log(g.config.Log, event.JobHandedAgain, zap.String("job", string(req.Request.Job.ID)), zap.Int("group", int(req.Group)),
 		zap.String("gate", string(req.Ticket.Gate)), zap.Uint64("number", req.Ticket.Number), zap.Int("known", len(s.waiters[a])),
-		zap.Bool("may_run", req.Request.MayBeRunning), zap.Duration("age", req.Request.Age))
+		zap.Bool("may_run", req.Request.MayBeRunning), zap.Duration("earlier_contact_age", req.Request.EarlierContactAge), zap.Duration("age", req.Request.Age))
 }
 
 // logAnswers logs each completed job with the ends that were counted for its tasks, each refusal,
--- a/tamarackpin/internal/group/offload.go
+++ b/tamarackpin/internal/group/offload.go
@@ -146,5 +146,5 @@
 // servePing records a ping of a gate that has a job offloaded here.
 func (g *Group) servePing(_ context.Context, from vm.ID, p ping) (ping, error) {
 	g.contacts.record(time.Now(), process{from, p.Made.Incarnation}, p.Made)
-	return ping{g.stampAt(time.Now())}, nil
+	return ping{g.replyStamp(from, time.Now())}, nil
 }
--- a/tamarackpin/internal/group/partial_test.go
+++ b/tamarackpin/internal/group/partial_test.go
@@ -17,8 +17,11 @@
 )
 
 // newTestGroup returns the Group of a VM whose process started at startedAt, its
-// knowledge of the fleet and the handlers of its peer calls.
+// knowledge of the fleet and the handlers of its peer calls. A nil Mesh stands for one that reaches no VM.
 func newTestGroup(id vm.ID, startedAt time.Time, m *peer.Mesh) (*Group, *fleet.Knowledge, *peer.Mux) {
+	if m == nil {
+		m = &peer.Mesh{}
+	}
 	k := fleet.NewKnowledge(vm.Presence{VM: id, FailureDomain: "a", Incarnation: vm.Incarnation(startedAt.UnixMilli()), Callers: true}, zap.NewNop())
 	var x peer.Mux
 	k.Serve(&x)
--- a/tamarackpin/internal/group/refusals_dispatcher_test.go
+++ b/tamarackpin/internal/group/refusals_dispatcher_test.go
@@ -33,7 +33,7 @@
 	w := d.w
 	w.fence++
 	d.reclaimPending, d.fence, d.workersUpdatedAt = false, w.fence, time.Time{}
-	d.state.dropPool()
+	d.state.dropPool(w.now)
 	d.state.pool = pool.New(w.now, pool.Config{Fence: d.fence, LeaseMax: time.Second, StopMax: 50 * time.Millisecond, WorkersIncomplete: w.oneIn(4)})
 	d.sendReplies()
 	w.announceLeader(leader{d, d.fence})
@@ -139,7 +139,7 @@
 	}
 	d.countStarts(orders)
 	if s.pool.Fenced() || !d.replacedAt.IsZero() && !d.w.now.Before(d.replacedAt) {
-		s.dropPool()
+		s.dropPool(d.w.now)
 	}
 	d.sendReplies()
 }
@@ -168,7 +168,8 @@
 	d.calls = slices.DeleteFunc(d.calls, func(c *simCall) bool {
 		select {
 		case r := <-c.done:
-			o := forwardReply{Answer: r.answer, Answered: !r.dropped, Admitted: !r.dropped || w.fault != faultDroppedNotAdmitted}
+			o := r.reply()
+			o.Admitted = o.Admitted && (!r.dropped || w.fault != faultDroppedNotAdmitted)
 			wait := w.messageDelay()
 			if c.to.d.vm == c.attempt.gate.index {
 				wait = 0
--- a/tamarackpin/internal/group/state.go
+++ b/tamarackpin/internal/group/state.go
@@ -30,14 +30,15 @@
 }
 
 // dropPool discards the pool and its waiters; each waiting gate is told to forward its job
-// again. It leaves the leadership as it is.
-func (s *groupState) dropPool() {
-	s.pool = nil
-	for _, list := range s.waiters {
+// again, and whether that was never started. It leaves the leadership as it is.
+func (s *groupState) dropPool(now time.Time) {
+	for a, list := range s.waiters {
+		neverStarted := s.pool != nil && s.pool.NeverStarted(now, a)
 		for _, w := range list {
-			w.done <- result{dropped: true}
+			w.done <- result{dropped: true, neverStarted: neverStarted}
 		}
 	}
+	s.pool = nil
 	clear(s.waiters)
 	clear(s.admissions)
 }
@@ -62,11 +63,11 @@
 }
 
 // withdraw removes a waiter and reports whether it was there. The job is withdrawn from
-// the pool unless another gate waits for the same admission.
-func (s *groupState) withdraw(now time.Time, w withdrawal) bool {
+// the pool unless another gate waits for the same admission, and neverStarted says that no dispatcher has started it.
+func (s *groupState) withdraw(now time.Time, w withdrawal) (waits, neverStarted bool) {
 	a, waits := s.admissions[w.Ticket]
 	if !waits {
-		return false
+		return false, false
 	}
 	delete(s.admissions, w.Ticket)
 	s.waiters[a] = slices.DeleteFunc(s.waiters[a], func(one waiter) bool {
@@ -76,13 +77,14 @@
 		return one.ticket == w.Ticket
 	})
 	if len(s.waiters[a]) > 0 {
-		return true
+		return true, false
 	}
 	delete(s.waiters, a)
 	if s.pool != nil {
+		neverStarted = s.pool.NeverStarted(now, a)
 		s.pool.Withdraw(now, a)
 	}
-	return true
+	return true, neverStarted
 }
 
 // withdrawAll removes the waiters whose tickets match.
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -41,8 +41,13 @@
 
 // result is what a waiter receives: the answer, or that there will be none.
 type result struct {
-	answer  pool.Answer
-	dropped bool // no answer: leadership was lost or the gate withdrew
+	answer       pool.Answer
+	dropped      bool // no answer: leadership was lost or the gate withdrew
+	neverStarted bool // of one that was dropped: no dispatcher has started a task of the job
+}
+
+func (r result) reply() forwardReply {
+	return forwardReply{Answer: r.answer, Answered: !r.dropped, Admitted: !r.neverStarted}
 }
 
 // forwardRequest carries a job from a gate to the leader of a group.
@@ -65,6 +70,13 @@
 	Job    job.ID `json:"job"` // read only by versions that match withdrawals by job
 }
 
+// withdrawalReply is the reply to a withdrawal that is called for.
+type withdrawalReply struct {
+	// NeverStarted reports that neither this dispatcher nor an earlier one has started a task of the job, and that this
+	// one won't.
+	NeverStarted bool `json:"never_started,omitempty"`
+}
+
 // forwardReply carries the answer to a forwarded job, or whether the job was admitted
 // without one. The zero value means that it was not admitted.
 type forwardReply struct {
@@ -72,8 +84,8 @@
 	// Answered reports that Answer is set (outer name "leads"). It is false if this VM does
 	// not lead the group or lost the leadership, or if the gate withdrew the call.
 	Answered bool `json:"leads"`
-	// Admitted reports that the job reached the pool (outer name "taken"); if Answered is
-	// false, its tasks may be running.
+	// Admitted reports that the job reached the pool (outer name "taken") and, if Answered is
+	// false, that its tasks may be running.
 	Admitted bool `json:"taken"`
 }
 
@@ -94,9 +106,8 @@
 		}()
 		return g.runJob(ctx, req)
 	})
-	peer.Handle(x, methodWithdraw, func(ctx context.Context, _ vm.ID, w withdrawal) (struct{}, error) {
-		g.enqueueWithdrawal(ctx, w)
-		return struct{}{}, nil
+	peer.Handle(x, methodWithdraw, func(ctx context.Context, _ vm.ID, w withdrawal) (withdrawalReply, error) {
+		return g.serveWithdrawal(ctx, w), nil
 	})
 	peer.Handle(x, methodRelease, func(ctx context.Context, _ vm.ID, t Ticket) (struct{}, error) {
 		g.enqueueRelease(ctx, t)
@@ -132,8 +143,13 @@
 	}
 	select {
 	case r := <-done:
-		return forwardReply{Answer: r.answer, Answered: !r.dropped, Admitted: true}, nil
+		return r.reply(), nil
 	case <-ctx.Done():
+		select {
+		case r := <-done:
+			return r.reply(), nil
+		default:
+		}
 		g.enqueueWithdrawal(context.WithoutCancel(ctx), withdrawal{req.Ticket, req.Request.Job.ID})
 		return forwardReply{}, code.New(code.Cancelled, "the gate left")
 	}
@@ -156,6 +172,22 @@
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.handleWithdrawal(now, w) })
 }
 
+// serveWithdrawal has the goroutine of Run handle a withdrawal, and waits for that.
+func (g *Group) serveWithdrawal(ctx context.Context, w withdrawal) withdrawalReply {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	neverStarted := make(chan bool, 1)
+	if err := g.ring.Put(ctx, func(g *Group, now time.Time) { neverStarted <- g.handleWithdrawal(now, w) }); err != nil {
+		return withdrawalReply{}
+	}
+	select {
+	case never := <-neverStarted:
+		return withdrawalReply{NeverStarted: never}
+	case <-ctx.Done():
+		return withdrawalReply{}
+	}
+}
+
 // enqueueRelease has the goroutine of Run release a job that a gate forwarded: it is answered as not run,
 // unless it may have been started.
 func (g *Group) enqueueRelease(ctx context.Context, t Ticket) {
@@ -188,12 +220,13 @@
 }
 
 // handleWithdrawal removes the waiter of a call, or stores the withdrawal until the call
-// arrives.
-func (g *Group) handleWithdrawal(now time.Time, w withdrawal) {
+// arrives. It reports whether the job is withdrawn and was never started.
+func (g *Group) handleWithdrawal(now time.Time, w withdrawal) (neverStarted bool) {
 	for _, s := range g.groups {
-		if s.withdraw(now, w) {
-			return
+		if waits, neverStarted := s.withdraw(now, w); waits {
+			return neverStarted
 		}
 	}
 	g.earlyWithdrawals.add(now, w.Ticket)
+	return false
 }
--- a/tamarackpin/internal/peer/mesh.go
+++ b/tamarackpin/internal/peer/mesh.go
@@ -163,6 +163,12 @@
 	return conn, l, nil
 }
 
+// Connected reports whether there is a connection for calls to an entry VM that is not known to have failed.
+func (m *Mesh) Connected(to vm.ID) bool {
+	conn, _ := m.link(to).open()
+	return conn != nil
+}
+
 // open returns the connection unless it has ended, and when the last dial ended.
 func (l *link) open() (conn *jsonrpc2.Conn, dialled time.Time) {
 	l.mu.Lock()
