Show contact again after an idle time, and never take it back

The last call to a VM before an idle time, as the last ping of an offload, may have no answer. The stamp of the next forward was as old as that call, so that the other VM did not admit the job. A VM that has not been called for 1 s is missing no answers now. Of two concurrent calls the one with the earlier time could take the shown contact back by the difference, and ContactAge told more than the true age.

ContactAge is 0 if an earlier dispatcher sends no stamps, as it counts messages as of their arrival, and if the process of the next claim was never heard to read the field.

--- a/tamarackpin/internal/group/last_contact.go
+++ b/tamarackpin/internal/group/last_contact.go
@@ -42,6 +42,7 @@
 // shownContact is what this process has shown another VM of its being in contact.
 type shownContact struct {
 	until           time.Time // the newest time that a stamp told
+	calledAt        time.Time // of the newest call
 	unansweredSince time.Time // when the first call was made since that VM was last heard; zero if there was none
 }
 
@@ -54,6 +55,9 @@
 const (
 	// maxClockDrift bounds the difference in rate of the steady clocks of two VMs.
 	maxClockDrift = 0.01
+	// maxCallGap is the time without a call to a VM after which it is not missing any answers: longer than between two
+	// heartbeats to a leader that does not answer, or two pings.
+	maxCallGap = time.Second
 	// contactLifetime is how long the last contact with a process is kept.
 	contactLifetime = time.Minute
 )
@@ -91,14 +95,15 @@
 	defer s.mu.Unlock()
 	c := s.shown[to]
 	switch limit := c.unansweredSince.Add(exchangeTimeout); {
-	case c.unansweredSince.IsZero():
-		c.unansweredSince, c.until = now, now
+	case c.unansweredSince.IsZero() || now.Sub(c.calledAt) > maxCallGap:
+		c.unansweredSince, c.until = now, later(c.until, now)
 	case !connected:
 	case now.Before(limit):
-		c.until = now
-	case c.until.Before(limit):
-		c.until = limit
+		c.until = later(c.until, now)
+	default:
+		c.until = later(c.until, limit)
 	}
+	c.calledAt = later(c.calledAt, now)
 	s.setShown(to, c)
 	return c.until
 }
@@ -107,7 +112,30 @@
 func (s *lastContacts) showReply(to vm.ID, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setShown(to, shownContact{until: now})
+	s.setShown(to, shownContact{until: later(s.shown[to].until, now)})
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// answered records that a VM answered a call.
+func (s *lastContacts) answered(id vm.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endWait(id)
+}
+
+// endWait records that no call to a VM waits for its first answer. s.mu is held.
+func (s *lastContacts) endWait(id vm.ID) {
+	if c, shown := s.shown[id]; shown {
+		c.unansweredSince = time.Time{}
+		s.shown[id] = c
+	}
 }
 
 // setShown sets the contact that was shown to a VM. s.mu is held.
@@ -127,12 +155,13 @@
 }
 
 // ContactAge returns how long ago this VM last showed contact to any dispatcher, other than the one in to, that has had a job. It
-// returns zero if the VM in to can't read it, and at most contactLifetime.
+// returns zero if the process in to is not known to read it, or if an earlier dispatcher sends no stamps, and so may count
+// a message as of its arrival. It returns contactLifetime at most.
 func (g *Group) ContactAge(now time.Time, earlier []Leader, to Leader) time.Duration {
 	c := &g.contacts
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if to.VM != g.self.VM && !c.processes[process{to.VM, c.newest[to.VM].Incarnation}].readsContactAge {
+	if p := (process{to.VM, to.Claim.Incarnation}); to.VM != g.self.VM && (c.newest[p.vm].Incarnation != p.incarnation || !c.processes[p].readsContactAge) {
 		return 0
 	}
 	age := contactLifetime
@@ -141,7 +170,7 @@
 			continue
 		}
 		at := c.shown[l.VM].until
-		if at.IsZero() { // this VM itself, too
+		if at.IsZero() || c.newest[l.VM] == (stamp{}) { // this VM itself, too
 			return 0
 		}
 		age = min(age, now.Sub(at))
@@ -171,6 +200,18 @@
 // record records a message that arrives now, and returns when it was made, as estimated from the least delayed message of
 // that process. For a message without a stamp, of an earlier build, that is its arrival.
 func (s *lastContacts) record(now time.Time, p process, made stamp) (sentAt time.Time) {
+	sentAt = s.recordArrival(now, p, made)
+	s.hear(p, sentAt)
+	return sentAt
+}
+
+// hear records that a process sent a message at the given time, by which the dispatcher here may start its jobs.
+func (s *lastContacts) hear(p process, sentAt time.Time) {
+	s.update(p, func(v *lastContact) { v.heardAt = later(v.heardAt, sentAt) })
+}
+
+// recordArrival does what record does, without hear.
+func (s *lastContacts) recordArrival(now time.Time, p process, made stamp) (sentAt time.Time) {
 	sentAt = now
 	s.update(p, func(v *lastContact) {
 		if made != (stamp{}) {
@@ -190,13 +231,7 @@
 			delete(s.newest, p.vm) // it may have gone back to an earlier build
 		}
 		v.arrivedAt = now
-		if c, shown := s.shown[p.vm]; shown {
-			c.unansweredSince = time.Time{}
-			s.shown[p.vm] = c
-		}
-		if sentAt.After(v.heardAt) {
-			v.heardAt = sentAt
-		}
+		s.endWait(p.vm)
 	})
 	return sentAt
 }
