Keep the connection when a withdrawal gets no reply in time

The calls that ask a replaced dispatcher whether it started a job timed out after 100 ms. Two of these count as a dead connection (node.go), so it was closed, with all calls of other groups on it, if the VM was busy. The call is canceled now, which does not count, and it can't hold up the forward while a write waits. A second withdrawal is sent only if the call failed. An answer to a forward ends the wait for an answer, so that a busy leader whose heartbeats are late is still shown contact.

Before, TestReplacedDispatcherWithoutReplyDelaysForwardBriefly fails after two withdrawals with a closed connection, and TestAnswerToForwardIsAnAnswer with contact that stands still.

--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -63,6 +63,7 @@
 		err = errOtherJob
 	}
 	if err == nil {
+		g.contacts.answered(to.VM)
 		if reply.Answered && to.VM != g.self.VM {
 			g.recordAnswer(to.VM, time.Now())
 		}
@@ -73,10 +74,12 @@
 	}
 	if to.VM != g.self.VM {
 		w := withdrawal{req.Ticket, r.Job.ID}
-		if errors.Is(context.Cause(ctx), ErrSuperseded) && g.contacts.isAnswering(to.VM, time.Now()) && g.withdrawUnstarted(context.WithoutCancel(ctx), to.VM, w) {
+		switch {
+		case !errors.Is(context.Cause(ctx), ErrSuperseded) || !g.contacts.isAnswering(to.VM, time.Now()):
+			go g.notifyWithdrawn(context.WithoutCancel(ctx), to.VM, w)
+		case g.withdrawUnstarted(context.WithoutCancel(ctx), to.VM, w):
 			return ForwardResult{Err: err}
 		}
-		go g.notifyWithdrawn(context.WithoutCancel(ctx), to.VM, w)
 	}
 	var failure *code.Error
 	panicked := errors.As(err, &failure) && failure.Code == code.Internal
@@ -116,16 +119,30 @@
 	clear(g.lastAnswers)
 }
 
-// withdrawUnstarted withdraws a job from a dispatcher and reports whether that one says that it, and the dispatchers before it, have
-// never started the job.
+// withdrawUnstarted withdraws a job from a dispatcher and reports whether that one says within supersededTimeout that it, and the
+// dispatchers before it, have never started the job. The call is canceled rather than timed out, so that a late reply does
+// not count against the connection, on which other jobs may be waiting.
 func (g *Group) withdrawUnstarted(ctx context.Context, from vm.ID, w withdrawal) bool {
-	ctx, cancel := context.WithTimeout(ctx, supersededTimeout)
+	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	reply, err := peer.Call[withdrawalReply](ctx, g.config.Mesh, from, report.UseForward, methodWithdraw, w)
-	if err != nil {
-		g.config.Log.Debug("a replaced dispatcher did not tell whether it has started a job", zap.String("job", string(w.Job)), zap.String("vm", string(from)), event.Err(err))
+	neverStarted := make(chan bool, 1)
+	go func() { // it may outlast its context while a write waits
+		reply, err := peer.Call[withdrawalReply](callCtx, g.config.Mesh, from, report.UseForward, methodWithdraw, w)
+		if neverStarted <- err == nil && reply.NeverStarted; err != nil {
+			g.config.Log.Debug("a replaced dispatcher did not tell whether it has started a job", zap.String("job", string(w.Job)), zap.String("vm", string(from)), event.Err(err))
+			if peer.NotSent(err) || !errors.Is(err, context.Canceled) {
+				g.notifyWithdrawn(ctx, from, w)
+			}
+		}
+	}()
+	timer := time.NewTimer(supersededTimeout)
+	defer timer.Stop()
+	select {
+	case never := <-neverStarted:
+		return never
+	case <-timer.C:
+		return false
 	}
-	return err == nil && reply.NeverStarted
 }
 
 func (g *Group) notifyWithdrawn(ctx context.Context, leader vm.ID, w withdrawal) {
--- /dev/null
+++ b/tamarackpin/internal/group/superseded_test.go
@@ -0,0 +1,102 @@
+package group
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/vm"
+	"tamarackpin.example/tamarackpin/internal/peer"
+)
+
+// standIn serves the VM otherVM over a real connection and returns a Group that calls it.
+func standIn(t *testing.T, register func(x *peer.Mux)) *Group {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var x peer.Mux
+	register(&x)
+	server := &peer.Server{Self: otherVM, Mux: &x, Log: zap.NewNop(), Known: func(vm.ID) bool { return true }}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(ctx, l)
+	}()
+	m := &peer.Mesh{Self: "ip-0a000001", Recorder: &report.Recorder{}, FailuresToRedial: 2, Address: func(vm.ID) (string, bool) { return l.Addr().String(), true }}
+	t.Cleanup(func() {
+		m.Close()
+		stop()
+		<-done
+	})
+	g, _, _ := newTestGroup("ip-0a000001", time.Now().Add(-time.Minute), m)
+	return g
+}
+
+// TestAnswerToForwardIsAnAnswer: a busy leader that answers jobs, and heartbeats late, lost the contact of its gates.
+func TestAnswerToForwardIsAnAnswer(t *testing.T) {
+	g := standIn(t, func(x *peer.Mux) {
+		peer.Handle(x, methodRun, func(_ context.Context, _ vm.ID, r forwardRequest) (forwardReply, error) {
+			reply := forwardReply{Answered: true, Admitted: true}
+			reply.Answer.Job = r.Request.Job.ID
+			return reply, nil
+		})
+	})
+	g.contacts.show(otherVM, time.Now().Add(-2*exchangeTimeout), true)
+	if r := g.Forward(t.Context(), Leader{VM: otherVM}, 1, oneTask("j", time.Second)); !r.Answered {
+		t.Fatalf("the forward got %+v", r)
+	}
+	if now := time.Now(); g.contacts.show(otherVM, now, true) != now {
+		t.Error("the contact shown stands still after an answer")
+	}
+}
+
+// TestReplacedDispatcherWithoutReplyDelaysForwardBriefly: a dispatcher that has been replaced and does not reply held up its
+// jobs, or lost the connection, with the calls on it, to withdrawals that were late.
+func TestReplacedDispatcherWithoutReplyDelaysForwardBriefly(t *testing.T) {
+	arrived := make(chan struct{}, 10)
+	g := standIn(t, func(x *peer.Mux) {
+		peer.Handle(x, methodRun, func(ctx context.Context, _ vm.ID, _ forwardRequest) (forwardReply, error) {
+			arrived <- struct{}{}
+			<-ctx.Done()
+			return forwardReply{}, nil
+		})
+		peer.Handle(x, methodWithdraw, func(ctx context.Context, _ vm.ID, _ withdrawal) (withdrawalReply, error) {
+			<-ctx.Done()
+			return withdrawalReply{NeverStarted: true}, nil
+		})
+	})
+	const tolerance = 50 * time.Millisecond
+	for number := range uint64(4) {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		results := make(chan ForwardResult, 1)
+		go func() { results <- g.Forward(ctx, Leader{VM: otherVM}, number, oneTask("j", time.Second)) }()
+		select {
+		case <-arrived:
+		case <-time.After(time.Second):
+			t.Fatalf("forward %d did not arrive", number)
+		}
+		g.contacts.record(time.Now(), process{otherVM, 1}, stamp{})
+		cancelledAt := time.Now()
+		cancel(ErrSuperseded)
+		r := <-results
+		if took := time.Since(cancelledAt); !r.MayBeRunning || took < supersededTimeout || took > supersededTimeout+tolerance {
+			t.Errorf("forward %d: %+v after %s, want MayBeRunning after %s", number, r, took, supersededTimeout)
+		}
+		if !g.config.Mesh.Connected(otherVM) {
+			t.Errorf("after forward %d the connection is closed", number)
+		}
+	}
+	g.contacts.show(otherVM, time.Now().Add(-2*exchangeTimeout), true)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(ErrSuperseded)
+	startedAt := time.Now()
+	if r := g.Forward(ctx, Leader{VM: otherVM}, 9, oneTask("j", time.Second)); time.Since(startedAt) > tolerance {
+		t.Errorf("a VM that does not answer was asked: %+v after %s", r, time.Since(startedAt))
+	}
+}
