A heartbeat that tells of a successor is no sign of its gate

The contact of a heartbeat counts at once, its claims only once the goroutine of Run has applied them. In between, a dispatcher that was cut off extended leases of a job that the gate had forwarded with the age of its contact before the cut. Such a heartbeat does not count as a sign of the gate now. Contact is shown before the claims of a heartbeat are read, so that a gate that has moved on either counts that contact or tells the claim with it; the order has no test.

Before, TestHeartbeatWithNewerClaimIsNoSignOfTheGate fails for a newer claim and for a newer division.

--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -56,11 +56,15 @@
 }
 
 // heartbeat returns a heartbeat for another entry VM.
-func (g *Group) heartbeat(to vm.ID) heartbeat {
+func (g *Group) heartbeat(to vm.ID) heartbeat { return g.heartbeatMade(to, g.stampFor(to, time.Now())) }
+
+// heartbeatMade returns a heartbeat with a stamp that was just made. Contact is shown before the claims are read: a gate that
+// has moved on to a newer claim either knows of that contact or tells the claim with it.
+func (g *Group) heartbeatMade(to vm.ID, made stamp) heartbeat {
 	now := time.Now()
 	echo := g.contacts.newestOf(to) // before the directory: the claims are to be as new as the echo says
 	d := g.directory.Load()
-	hb := heartbeat{Self: g.config.Knowledge.Self(), Division: d.division, WorkersIncomplete: g.workersIncomplete(now), Made: g.stampFor(to, now), Echo: echo}
+	hb := heartbeat{Self: g.config.Knowledge.Self(), Division: d.division, WorkersIncomplete: g.workersIncomplete(now), Made: made, Echo: echo}
 	if at := g.workersKnownAt(); !at.IsZero() {
 		hb.WorkerNewsAge = wire.Duration(now.Sub(at))
 	}
@@ -186,8 +190,8 @@
 // serveExchange replies only after the fetch that the heartbeat may cause.
 func (g *Group) serveExchange(ctx context.Context, _ vm.ID, hb heartbeat) (heartbeat, error) {
 	g.receiveHeartbeat(ctx, hb)
-	reply := g.heartbeat(hb.Self.VM)
-	reply.Made, reply.ReadsContactAge = g.replyStamp(hb.Self.VM, time.Now()), true
+	reply := g.heartbeatMade(hb.Self.VM, g.replyStamp(hb.Self.VM, time.Now()))
+	reply.ReadsContactAge = true
 	return reply, nil
 }
 
@@ -198,7 +202,10 @@
 	now := time.Now()
 	g.recordExchange(now, hb.Self.VM)
 	sender := process{hb.Self.VM, hb.Self.Incarnation}
-	madeAt := g.contacts.record(now, sender, hb.Made)
+	madeAt := g.contacts.recordArrival(now, sender, hb.Made)
+	if !g.tellsOfSuccessor(hb) {
+		g.contacts.hear(sender, madeAt)
+	}
 	if hb.ReadsContactAge {
 		g.contacts.update(sender, func(c *lastContact) { c.readsContactAge = true })
 	}
@@ -219,6 +226,19 @@
 	}
 }
 
+// tellsOfSuccessor reports whether a heartbeat tells of a claim or a division that ends a leadership of this VM. Its sender
+// may have forwarded its jobs, so it must not extend leases before the goroutine of Run has applied it.
+func (g *Group) tellsOfSuccessor(hb heartbeat) bool {
+	d := g.directory.Load()
+	for i, l := range d.leaders {
+		newer := hb.Division.Epoch > d.division.Epoch || hb.Division.Epoch == d.division.Epoch && i < len(hb.Claims) && hb.Claims[i].Fence > l.Claim.Fence
+		if l.VM == g.self.VM && newer {
+			return true
+		}
+	}
+	return false
+}
+
 // applyHeartbeat adopts a newer division and passes the claims of a heartbeat to the
 // leader elections. It runs on the goroutine of Run.
 func (g *Group) applyHeartbeat(now time.Time, hb heartbeat) {
--- a/tamarackpin/internal/group/exchange_test.go
+++ b/tamarackpin/internal/group/exchange_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/tamarackpin/internal/peer"
@@ -95,3 +96,34 @@
 		t.Errorf("after a heartbeat without stamps the gate is confirmed at %s, want its arrival", confirmedAt())
 	}
 }
+
+// TestHeartbeatWithNewerClaimIsNoSignOfTheGate: a dispatcher that is behind took the message by which it learns of its
+// successor for a sign of the gate, and extended leases by it before it knew the claim.
+func TestHeartbeatWithNewerClaimIsNoSignOfTheGate(t *testing.T) {
+	g, _ := newLeadingGroup(t)
+	g.publish(time.Now())
+	gate, _, _ := newTestGroup(otherVM, time.Now().Add(-time.Minute), nil)
+	ticket := Ticket{gate.self.VM, gate.self.Incarnation, 1}
+	claim := g.groups[0].leadership.Claim()
+	newer := lead.Claim{Fence: claim.Fence + 1, VM: "ip-0a000003", Incarnation: 1}
+	for _, c := range []struct {
+		name     string
+		claim    lead.Claim
+		division lead.Division
+		counts   bool
+	}{
+		{"own claim", claim, g.division, true},
+		{"no claim", lead.Claim{}, g.division, true},
+		{"newer claim", newer, g.division, false},
+		{"newer division", lead.Claim{}, lead.Division{Epoch: g.division.Epoch + 1, Groups: 1}, false},
+	} {
+		before := g.contactOf(time.Now(), ticket).HeardAt
+		time.Sleep(5 * time.Millisecond)
+		hb := gate.heartbeat(g.self.VM)
+		hb.Claims, hb.Division, hb.Made = []lead.Claim{c.claim}, c.division, gate.stampAt(time.Now())
+		g.receiveHeartbeat(t.Context(), hb) // Run has not seen it
+		if counts := g.contactOf(time.Now(), ticket).HeardAt.After(before); counts != c.counts {
+			t.Errorf("%s: counts as a sign of the gate: %v, want %v", c.name, counts, c.counts)
+		}
+	}
+}
