Leave the contact age out of offloads

A job that was forwarded again and then sent to the group that it was offloaded to carried the contact age of the forward. An earlier build there refuses a call with that field, and the job was abandoned.

--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -205,7 +205,7 @@
 	if mayRunThere {
 		spare = g.Knowledge.ReportOf(now, earlier)
 	}
-	r.CanOffload, r.Offloaded = false, true
+	r.CanOffload, r.Offloaded, r.EarlierContactAge = false, true, 0 // that VM may be of a build that refuses the field
 	result := g.Group.Offload(ctx, spare, g.lastCall.Add(1), r)
 	event.Log(g.Log, event.JobSpilled, zap.String("job", string(r.Job.ID)), zap.String("failure_domain", string(spare.FailureDomain)), zap.Int("group", int(spare.Group)),
 		zap.Int("free_places", spare.FreeSlots), zap.Bool("again", mayRunThere), zap.Bool("answered", result.Answered), zap.String("outcome", string(result.Answer.Outcome)))
--- a/tamarackpin/internal/gate/offload_refused_test.go
+++ b/tamarackpin/internal/gate/offload_refused_test.go
@@ -24,8 +24,10 @@
 // What entry VMs send each other, as far as standInLeader needs it.
 type (
 	heartbeatReply struct {
-		Self   vm.Presence  `json:"self"`
-		Claims []lead.Claim `json:"claims"`
+		Self            vm.Presence    `json:"self"`
+		Claims          []lead.Claim   `json:"claims"`
+		Made            map[string]any `json:"made,omitempty"`
+		ReadsContactAge bool           `json:"reads_contact_age,omitempty"`
 	}
 	runRequest struct {
 		Ticket  group.Ticket `json:"ticket"`
@@ -44,7 +46,8 @@
 // standInLeader stands in for another entry VM that leads the only group, and for the group to which it has
 // jobs offloaded.
 type standInLeader struct {
-	answer func(try int, r pool.Request) runReply
+	answer          func(try int, r pool.Request) runReply
+	readsContactAge bool
 
 	mu    sync.Mutex // guards calls
 	calls []pool.Request
@@ -57,9 +60,14 @@
 		t.Fatal(err)
 	}
 	self := vm.Presence{VM: "ip-0a000002", FailureDomain: "a", Incarnation: 1, Callers: true}
+	startedAt := time.Now()
 	var x peer.Mux
 	peer.Handle(&x, "group.exchange", func(context.Context, vm.ID, map[string]any) (heartbeatReply, error) {
-		return heartbeatReply{self, []lead.Claim{{Fence: 7, VM: self.VM, Incarnation: self.Incarnation}}}, nil
+		reply := heartbeatReply{Self: self, Claims: []lead.Claim{{Fence: 7, VM: self.VM, Incarnation: self.Incarnation}}, ReadsContactAge: s.readsContactAge}
+		if s.readsContactAge {
+			reply.Made = map[string]any{"incarnation": self.Incarnation, "age": (time.Second + time.Since(startedAt)).String()}
+		}
+		return reply, nil
 	})
 	peer.Handle(&x, "group.ping", func(context.Context, vm.ID, map[string]any) (struct{}, error) { return struct{}{}, nil })
 	peer.Handle(&x, "group.run", func(_ context.Context, _ vm.ID, r runRequest) (runReply, error) {
@@ -118,3 +126,28 @@
 		t.Errorf("calls with OffloadRefused: %v, want %v", got, want)
 	}
 }
+
+// TestOffloadHasNoContactAge: the contact age of a forward went on to the group to which the job was offloaded, whose VM may
+// be of a build that refuses the field, so that the job was abandoned.
+func TestOffloadHasNoContactAge(t *testing.T) {
+	s := &standInLeader{readsContactAge: true, answer: func(try int, _ pool.Request) runReply {
+		switch try {
+		case 1:
+			return runReply{Admitted: true} // it lost the leadership
+		case 2:
+			elsewhere := pool.Answer{Outcome: job.NotRun, TryElsewhere: true, OffloadTo: pool.Destination{FailureDomain: "b", VM: "ip-0a000002"}}
+			return runReply{Answer: elsewhere, Answered: true, Admitted: true}
+		}
+		return runReply{Answer: pool.Answer{Outcome: job.Completed}, Answered: true, Admitted: true}
+	}}
+	g := s.serve(t)
+	if a := g.Run(t.Context(), pool.Request{Job: job.Job{ID: "a"}, RemainingWait: 10 * time.Second}); a.Outcome != job.Completed {
+		t.Fatalf("answer %+v, want completed", a)
+	}
+	if len(s.calls) != 3 || !s.calls[2].Offloaded || s.calls[1].EarlierContactAge == 0 {
+		t.Fatalf("calls %+v, want an offload after a forward with a contact age", s.calls)
+	}
+	if age := s.calls[2].EarlierContactAge; age != 0 {
+		t.Errorf("the offload has a contact age of %s", age)
+	}
+}
