Give each waiter one result if dropping a pool panics

dropPool asks the pool now. If that panics, contain calls dropPool again, and the second result of a waiter would block the goroutine of Run, as its channel has room for one. Found by reading; no test.

--- a/tamarackpin/internal/group/state.go
+++ b/tamarackpin/internal/group/state.go
@@ -34,12 +34,12 @@
 func (s *groupState) dropPool(now time.Time) {
 	for a, list := range s.waiters {
 		neverStarted := s.pool != nil && s.pool.NeverStarted(now, a)
+		delete(s.waiters, a) // each receives one result, also if a panic ends this and it is called again
 		for _, w := range list {
 			w.done <- result{dropped: true, neverStarted: neverStarted}
 		}
 	}
 	s.pool = nil
-	clear(s.waiters)
 	clear(s.admissions)
 }
 
