Draw withdrawals that ask in the random schedules of refusals

The gates of the schedules withdrew superseded calls without asking whether the job was started. They ask now, with withdrawals and replies that may be late or lost, and a new planted fault has a dispatcher say that it never started a job although it did. Few jobs wait unstarted at a dispatcher that is replaced, so 200 more schedules are played.

--- a/tamarackpin/internal/group/refusals_dispatcher_test.go
+++ b/tamarackpin/internal/group/refusals_dispatcher_test.go
@@ -110,12 +110,13 @@
 	}
 }
 
-// withdraw handles a withdrawal, which may arrive before the forward.
-func (d *simDispatcher) withdraw(c *simCall) {
+// withdraw handles a withdrawal, which may arrive before the forward. It reports whether the job is withdrawn and was never started.
+func (d *simDispatcher) withdraw(c *simCall) (neverStarted bool) {
 	if !c.received {
 		d.w.stats["withdrawn before arrival"]++
 	}
-	d.state.withdraw(d.w.now, withdrawal{c.ticket, c.attempt.job.request.Job.ID})
+	waits, neverStarted := d.state.withdraw(d.w.now, withdrawal{c.ticket, c.attempt.job.request.Job.ID})
+	return neverStarted || waits && d.w.fault == faultStartedNeverStarted
 }
 
 // applyDecisions sends the pool's orders and answers, as Group.applyDecisions does.
--- a/tamarackpin/internal/group/refusals_gate_test.go
+++ b/tamarackpin/internal/group/refusals_gate_test.go
@@ -57,6 +57,7 @@
 	call              *simCall    // pending, or nil
 	retryAt           time.Time
 	noLeaderSince     time.Time
+	asksUntil         time.Time // when it gives up the reply of a replaced dispatcher; zero if it waits for none
 }
 
 // simCall is one forward of a job to a dispatcher.
@@ -73,10 +74,14 @@
 	w := t.w
 	expired := t.disconnectNoticed || !w.now.Before(t.deadlineNoticedAt)
 	switch {
-	case t.finished:
+	case t.finished || !t.asksUntil.IsZero():
 	case t.call != nil:
-		if expired || !t.offloaded && t.gate.leader(w.now, t.job.homeGroup) != t.call.to {
+		current := t.gate.leader(w.now, t.job.homeGroup)
+		switch {
+		case expired || !t.offloaded && current.d == nil:
 			t.cancelCall()
+		case !t.offloaded && current != t.call.to:
+			t.supersedeCall()
 		}
 	case expired:
 		t.giveUp()
@@ -174,6 +179,54 @@
 	t.finishForward(c, ForwardResult{MayBeRunning: true})
 }
 
+// supersedeCall ends the wait for an answer when another dispatcher has taken over, and asks the replaced one whether it
+// has started the job, as Group.withdrawUnstarted does. The withdrawal or its reply may be late or lost.
+func (t *simAttempt) supersedeCall() {
+	w, c := t.w, t.call
+	if c.to.d.vm == t.gate.index || w.oneIn(4) { // one that does not answer is not asked
+		t.cancelCall()
+		return
+	}
+	w.stats["asked whether started"]++
+	t.job.record("superseded call", c.ticket.Number)
+	c.cancelled = true
+	t.asksUntil = w.now.Add(supersededTimeout)
+	finish := func(neverStarted bool) {
+		if t.call != c || t.finished {
+			return
+		}
+		if neverStarted {
+			w.stats["never started"]++
+			t.job.record("never started, call", c.ticket.Number)
+		}
+		t.asksUntil = time.Time{}
+		t.finishForward(c, ForwardResult{MayBeRunning: !neverStarted})
+	}
+	w.after(supersededTimeout, func() { finish(false) })
+	ask := func() {
+		c.to.d.enqueue(func() {
+			neverStarted := c.to.d.withdraw(c)
+			switch w.r.IntN(10) {
+			case 0: // lost
+			case 1:
+				w.stats["late replies to withdrawals"]++
+				w.after(w.randomDelay(20, 200), func() { finish(neverStarted) })
+			default:
+				w.after(w.messageDelay(), func() { finish(neverStarted) })
+			}
+		})
+	}
+	switch w.r.IntN(10) {
+	case 0:
+		w.stats["lost withdrawals"]++
+	case 1, 2:
+		w.stats["late withdrawals"]++
+		w.after(w.randomDelay(20, 800), ask)
+	default:
+		w.after(w.messageDelay(), ask)
+	}
+}
+
 // receiveReply handles the reply to a forward.
 func (t *simAttempt) receiveReply(c *simCall, o forwardReply) {
 	switch {
--- a/tamarackpin/internal/group/refusals_schedule_test.go
+++ b/tamarackpin/internal/group/refusals_schedule_test.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	refusalSeeds  = 32
-	faultSeeds    = 100
-	scheduleSteps = 1000
-	stepTime      = 5 * time.Millisecond
+	refusalSeeds = 32
+	faultSeeds   = 100
+	// givenBackSeeds is the number of schedules in which jobs that were never started are given back.
+	givenBackSeeds = 200
+	scheduleSteps  = 1000
+	stepTime       = 5 * time.Millisecond
 	// jobArrivalPeriod ends 1.5 s before the schedule, so that the last jobs have time to
 	// start after a refusal.
 	jobArrivalPeriod = 3500 * time.Millisecond
@@ -38,6 +40,7 @@
 	faultDroppedNotAdmitted          fault = "a dispatcher that lost its leadership replies that it never admitted the job"
 	faultTakeoverIgnoresMayBeRunning fault = "a dispatcher that took over ignores MayBeRunning"
 	faultOffloadedNotAdmitted        fault = "a gate takes an offloaded job for not admitted when the other group becomes unreachable"
+	faultStartedNeverStarted         fault = "a dispatcher says that it never started a job although it did"
 	faultGivesUpNotRun               fault = "a gate that gives up answers not run although the job may run"
 )
 
@@ -240,6 +243,7 @@
 	for _, k := range []string{
 		"refused", "completed", "abandoned", "starts", "dispatcher blocked", "takeovers", "restarts", "cancelled calls", "forwarded again",
 		"late withdrawals", "withdrawn before arrival", "lost withdrawals", "late starts", "lost orders", "offloaded", "resent", "dropped", "jobs with two admissions",
+		"asked whether started",
 	} {
 		if total[k] < refusalSeeds/4 {
 			t.Errorf("%d %s in %d schedules: too few for the test to be meaningful", total[k], k, refusalSeeds)
@@ -253,11 +257,32 @@
 	}
 }
 
+// TestUnstartedJobsAreGivenBackUnderRandomSchedules plays more of these schedules: few jobs wait unstarted at a dispatcher that is
+// replaced, and replies by which it gives them back are to be drawn, late ones too.
+func TestUnstartedJobsAreGivenBackUnderRandomSchedules(t *testing.T) {
+	total := make(map[string]int)
+	for seed := uint64(refusalSeeds); seed < refusalSeeds+givenBackSeeds; seed++ {
+		stats, err := refusalSchedule(seed, noFault)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		for k, n := range stats {
+			total[k] += n
+		}
+	}
+	t.Log(total)
+	for k, least := range map[string]int{"asked whether started": givenBackSeeds, "late replies to withdrawals": givenBackSeeds / 20, "never started": givenBackSeeds / 20} {
+		if total[k] < least {
+			t.Errorf("%d %s in %d schedules, want %d", total[k], k, givenBackSeeds, least)
+		}
+	}
+}
+
 // TestInjectedRefusalFaultsAreDetected shows that checkRefusal detects each injected fault
 // within faultSeeds schedules.
 func TestInjectedRefusalFaultsAreDetected(t *testing.T) {
 	for _, f := range []fault{
-		faultAnswersByJob, faultRepliesByJob, faultMayBeRunningLost, faultDroppedNotAdmitted, faultTakeoverIgnoresMayBeRunning, faultOffloadedNotAdmitted, faultGivesUpNotRun,
+		faultAnswersByJob, faultRepliesByJob, faultMayBeRunningLost, faultDroppedNotAdmitted, faultTakeoverIgnoresMayBeRunning, faultOffloadedNotAdmitted, faultGivesUpNotRun, faultStartedNeverStarted,
 	} {
 		detected := false
 		for seed := uint64(0); seed < faultSeeds && !detected; seed++ {
