Test which jobs a replaced dispatcher gives back

Over a real connection: if the gate learns of the successor first or the dispatcher steps down first, a job that waits is given back, and one with a started task may be running; if the dispatcher panics or the caller leaves, both may be running.

--- a/tamarackpin/internal/group/superseded_test.go
+++ b/tamarackpin/internal/group/superseded_test.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/tamarackpin/internal/peer"
@@ -100,3 +101,77 @@
 		t.Errorf("a VM that does not answer was asked: %+v after %s", r, time.Since(startedAt))
 	}
 }
+
+// TestReplacedDispatcherTellsWhichJobsItStarted: the jobs that a replaced dispatcher never started waited at its successor as if
+// they might be running. Those of a dispatcher that panics may be, whatever its pool says.
+func TestReplacedDispatcherTellsWhichJobsItStarted(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		end          func(leading *Group, cancel context.CancelCauseFunc)
+		mayBeRunning map[job.ID]bool
+	}{
+		{"the gate learns of the successor first", func(_ *Group, cancel context.CancelCauseFunc) { cancel(ErrSuperseded) }, map[job.ID]bool{"started": true, "waiting": false}},
+		{"the caller leaves", func(_ *Group, cancel context.CancelCauseFunc) { cancel(context.Canceled) }, map[job.ID]bool{"started": true, "waiting": true}},
+		{"the dispatcher steps down first", func(leading *Group, _ context.CancelCauseFunc) {
+			_ = leading.ring.Put(context.Background(), func(g *Group, now time.Time) { g.groups[0].dropPool(now) })
+		}, map[job.ID]bool{"started": true, "waiting": false}},
+		{"the dispatcher panics", func(leading *Group, _ context.CancelCauseFunc) {
+			_ = leading.ring.Put(context.Background(), func(*Group, time.Time) { panic("planted") })
+		}, map[job.ID]bool{"started": true, "waiting": true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			leading, starts := newLeadingGroup(t)
+			leading.self.VM = otherVM
+			leading.addWorker(t, "w1") // with room for one task
+			g := standIn(t, leading.registerHandlers)
+			results, cancels := make(map[job.ID]chan ForwardResult), make(map[job.ID]context.CancelCauseFunc)
+			for i, id := range []job.ID{"started", "waiting"} {
+				results[id] = make(chan ForwardResult, 1)
+				ctx, cancel := context.WithCancelCause(t.Context())
+				defer cancel(nil)
+				cancels[id] = cancel
+				r := oneTask(id, time.Second)
+				r.Stretch = 10
+				go func() { results[id] <- g.Forward(ctx, Leader{VM: otherVM}, uint64(i+1), r) }()
+				for pending := false; !pending; _, pending = leading.groups[0].pool.Lookup(id) {
+					leading.runNext(t)
+				}
+				if id == "started" {
+					if o := <-starts; o.Task.Job != id {
+						t.Fatalf("job %s was started", o.Task.Job)
+					}
+				}
+			}
+			stopped, stop := context.WithCancel(t.Context())
+			defer stop()
+			go func() {
+				for {
+					select {
+					case <-stopped.Done():
+						return
+					case command := <-leading.ring.Out():
+						leading.runCommand(command)
+						leading.contain("sending decisions", func(g *Group, now time.Time) { g.applyDecisions(stopped, now) })
+					}
+				}
+			}()
+			for _, id := range []job.ID{"waiting", "started"} { // else the end of the second makes room for the first
+				g.contacts.answered(otherVM)
+				c.end(leading, cancels[id])
+				select {
+				case r := <-results[id]:
+					if want := c.mayBeRunning[id]; r.Answered || r.MayBeRunning != want {
+						t.Errorf("job %s: %+v, want MayBeRunning %v", id, r, want)
+					}
+				case <-time.After(2 * time.Second):
+					t.Errorf("job %s: no result", id)
+				}
+			}
+			for len(starts) > 0 {
+				if o := <-starts; o.Task.Job == "waiting" {
+					t.Errorf("%s was started by the dispatcher that was replaced", o.Task.Job)
+				}
+			}
+		})
+	}
+}
