Give a job back also when gate and dispatcher learn at once

A dispatcher that steps down answers the calls of the jobs that it never started. If the gate learned of the successor while that answer was on its way, it canceled the call, its withdrawal found no call, and the job waited at the successor as one that may be running.

Before, TestJobIsGivenBackWhenGateAndDispatcherLearnAtOnce fails with 'job waiting: never started false'.

--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -214,6 +214,9 @@
 	}
 	g.tickLeaderships(now)
 	g.earlyWithdrawals.expire(now)
+	for _, s := range g.groups {
+		s.givenBack.expire(now)
+	}
 	if now.Sub(g.workersUpdatedAt) >= workerUpdateInterval || g.newWorkersComplete(now) {
 		g.workersUpdatedAt = now
 		g.updateWorkers(now)
--- a/tamarackpin/internal/group/state.go
+++ b/tamarackpin/internal/group/state.go
@@ -15,6 +15,7 @@
 	pool       *pool.Pool // nil unless this VM leads
 	waiters    map[pool.Admission][]waiter
 	admissions map[Ticket]pool.Admission // the admission that each waiter waits for
+	givenBack  withdrawals               // the calls that were answered as of jobs that were never started
 	cursor     worker.Cursor             // position up to which the pool has received workers
 	// runsKnownLogged reports that it was logged that the pool knows the runs of earlier dispatchers.
 	runsKnownLogged bool
@@ -36,6 +37,9 @@
 		neverStarted := s.pool != nil && s.pool.NeverStarted(now, a)
 		delete(s.waiters, a) // each receives one result, also if a panic ends this and it is called again
 		for _, w := range list {
+			if neverStarted {
+				s.givenBack.add(now, w.ticket)
+			}
 			w.done <- result{dropped: true, neverStarted: neverStarted}
 		}
 	}
@@ -67,7 +71,8 @@
 func (s *groupState) withdraw(now time.Time, w withdrawal) (waits, neverStarted bool) {
 	a, waits := s.admissions[w.Ticket]
 	if !waits {
-		return false, false
+		neverStarted = s.givenBack.remove(w.Ticket) // its answer may have been on its way when the gate canceled the call
+		return neverStarted, neverStarted
 	}
 	delete(s.admissions, w.Ticket)
 	s.waiters[a] = slices.DeleteFunc(s.waiters[a], func(one waiter) bool {
--- a/tamarackpin/internal/group/superseded_test.go
+++ b/tamarackpin/internal/group/superseded_test.go
@@ -175,3 +175,31 @@
 		})
 	}
 }
+
+// TestJobIsGivenBackWhenGateAndDispatcherLearnAtOnce: a gate canceled its call at the moment at which the dispatcher, which
+// had stepped down, answered it. The withdrawal found no call, and the job counted as one that may be running.
+func TestJobIsGivenBackWhenGateAndDispatcherLearnAtOnce(t *testing.T) {
+	g, starts := newLeadingGroup(t)
+	g.addWorker(t, "w1") // with room for one task
+	now := time.Now()
+	jobs := map[job.ID]Ticket{"started": {otherVM, 1, 1}, "waiting": {otherVM, 1, 2}}
+	for _, id := range []job.ID{"started", "waiting"} {
+		r := oneTask(id, time.Second)
+		r.Stretch = 10
+		g.admit(now, forwardRequest{jobs[id], 0, 0, r, stamp{}}, make(chan result, 1))
+		g.applyDecisions(t.Context(), now)
+	}
+	if o := <-starts; o.Task.Job != "started" {
+		t.Fatalf("job %s was started", o.Task.Job)
+	}
+	g.groups[0].dropPool(now)
+	for id, ticket := range jobs {
+		if neverStarted := g.handleWithdrawal(now, withdrawal{ticket, id}); neverStarted != (id == "waiting") {
+			t.Errorf("job %s: never started %v", id, neverStarted)
+		}
+	}
+	g.groups[0].givenBack.add(now, jobs["waiting"])
+	if g.tick(now.Add(2 * earlyWithdrawalTTL)); len(g.groups[0].givenBack.receivedAt) > 0 {
+		t.Error("the jobs that were given back are kept")
+	}
+}
