pool: schedules draw how gates leave earlier dispatchers

The schedules forwarded each job with contact until that moment, and as one that may be running. Now gates stop showing contact some time before they forward, also before the takeover, and tell its age, exact or understated. Half of them withdraw the job at the earlier dispatcher, if that has not ended, and forward it as a new one if that one says that it was never started. The draws have a random source of their own.

They take more steps; the bound stays.

--- a/internal/pool/gates_test.go
+++ b/internal/pool/gates_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -58,6 +59,7 @@
 // submitTo submits a job to a dispatcher; its gate leaves those that were replaced.
 func (sim *simulation) submitTo(p *Pool, r Request) {
 	sim.gates.leave(sim.now, r.Job.ID)
+	sim.forwards.record(slices.Index(sim.pools, p), r.Job.ID)
 	p.Submit(sim.now, r)
 }
 
--- a/internal/pool/handover_test.go
+++ b/internal/pool/handover_test.go
@@ -104,16 +104,18 @@
 // step hands a group over to a new dispatcher when it is time; the old one stops at once. Half of
 // the times the connections of the old one are reset, so that its orders get no reply.
 func (h *handovers) step(sim *simulation) {
+	sim.forwards.step(sim)
 	for _, id := range h.forwards[sim.now] {
 		if p, ok := sim.owner(string(id)); ok && sim.outcomes[id] == "" {
 			r := sim.jobs[id]
-			r.MayBeRunning = true
+			sim.forwards.forward(sim, sim.groups[sim.division.GroupOf(string(id))], &r)
 			sim.submitTo(p, r)
 		}
 	}
 	delete(h.forwards, sim.now)
 	for _, id := range h.resubmitted[sim.now] {
 		if p, ok := sim.owner(string(id)); ok && sim.outcomes[id] == "" {
+			sim.forwards.resubmit(id)
 			sim.submitTo(p, sim.jobs[id])
 			sim.stats["resubmitted"]++
 		}
@@ -163,6 +165,7 @@
 	}
 	at := sim.now.Add(time.Duration(1+h.r.IntN(int(longest/stepTime))) * stepTime)
 	h.forwards[at] = append(h.forwards[at], id)
+	sim.forwards.plan(sim, at, id)
 }
 
 // forwarding reports whether a gate has a job that it has not forwarded to the new dispatcher yet, or
@@ -232,6 +235,7 @@
 func newHandoverSimulation(seed uint64) *simulation {
 	sim := newSimulation(seed, noFault)
 	sim.handovers = &handovers{r: rand.New(rand.NewPCG(seed, 5)), forwards: make(map[time.Time][]job.ID), resubmitted: make(map[time.Time][]job.ID)}
+	sim.forwards = newForwards(seed)
 	return sim
 }
 
@@ -270,6 +274,18 @@
 }
 
 func checkHandoverSchedules(t *testing.T, run func(seed uint64) (map[string]int, error)) map[string]int {
+	total := checkSchedules(t, run, "handovers", "contacts paused", "forwarded with a shorter wait")
+	for _, k := range []string{"never started", "forwarded without a wait"} {
+		if total[k] < handoverSeeds/6 {
+			t.Errorf("%d %s, too few for the test to be conclusive", total[k], k)
+		}
+	}
+	return total
+}
+
+// checkSchedules runs the schedules of handoverSeeds and of moreSchedules. Each of the things that are named, and jobs, must
+// have occurred often enough.
+func checkSchedules(t *testing.T, run func(seed uint64) (map[string]int, error), conclusive ...string) map[string]int {
 	total := make(map[string]int)
 	failed := 0
 	for seed := range handoverSeeds + *moreSchedules {
@@ -283,7 +299,7 @@
 		}
 	}
 	t.Logf("%d of %d schedules failed; %v", failed, handoverSeeds+*moreSchedules, total)
-	for _, k := range []string{"jobs", "starts", "completed", "handovers"} {
+	for _, k := range append(conclusive, "jobs", "starts", "completed") {
 		if total[k] < handoverSeeds {
 			t.Errorf("%d %s, too few for the test to be conclusive", total[k], k)
 		}
--- a/internal/pool/predecessor_test.go
+++ b/internal/pool/predecessor_test.go
@@ -72,7 +72,8 @@
 	})
 }
 
-// combinedSteps keeps the run time of the combined schedules low.
+// combinedSteps keeps the run time of the combined schedules low. With a handover every 0.3 to 0.6 s few jobs are completed,
+// so that those schedules take more steps.
 const combinedSteps = 1500
 
 // TestNoTaskRunsTwiceUnderPredecessorAndMore combines replaced dispatchers that continue with what
@@ -82,17 +83,18 @@
 	for _, c := range []struct {
 		name    string
 		longest time.Duration // that a replaced dispatcher continues
+		steps   int
 		add     func(sim *simulation, seed uint64)
 	}{
-		{"workers are unknown for some time", time.Second, func(sim *simulation, seed uint64) {
+		{"workers are unknown for some time", time.Second, combinedSteps, func(sim *simulation, seed uint64) {
 			sim.hidden = newHiddenWorkers(seed, 2500*time.Millisecond, false)
 		}},
-		{"workers leave", time.Second, (*simulation).addDepartures},
-		{"clocks are set back", time.Second, (*simulation).setClocksBack},
-		{"a third dispatcher takes over while the first continues", 3 * time.Second, func(sim *simulation, _ uint64) {
+		{"workers leave", time.Second, combinedSteps, (*simulation).addDepartures},
+		{"clocks are set back", time.Second, combinedSteps, (*simulation).setClocksBack},
+		{"a third dispatcher takes over while the first continues", 3 * time.Second, handoverSteps, func(sim *simulation, _ uint64) {
 			sim.handovers.gapRange = 300 * time.Millisecond
 		}},
-		{"gates are lost, others follow late", 2 * time.Second, func(sim *simulation, seed uint64) {
+		{"gates are lost, others follow late", 2 * time.Second, combinedSteps, func(sim *simulation, seed uint64) {
 			sim.handovers.predecessors.lateGates = true
 			sim.handovers.lostGates = rand.New(rand.NewPCG(seed, 7))
 		}},
@@ -101,7 +103,7 @@
 			checkHandoverSchedules(t, func(seed uint64) (map[string]int, error) {
 				sim := newPredecessorSimulation(seed, c.longest)
 				c.add(sim, seed)
-				return sim.run(combinedSteps)
+				return sim.run(c.steps)
 			})
 		})
 	}
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -127,6 +127,7 @@
 	slowdown   time.Duration // factor of the time that runs take; 0 stands for 1
 	lateStarts lateStartSharing
 	gates      gateMoves
+	forwards   *forwards // nil in schedules without handovers
 	stepped    *stepped
 	doubled    *doubledReplies
 	settled    *settled
