A second gate does not speak for a silent one

With two gates waiting for a job, its contact is that of the gate heard least lately. A forward by the second one was counted as contact of the job all the same, so that a dispatcher extended its runs by the time of the first gate's silence, though that one may have forwarded the job to the next dispatcher.

TestSecondGateDoesNotSpeakForSilentOne failed before, with a lease 0.56 s after the last message of the first gate.

--- a/internal/pool/gates_test.go
+++ b/internal/pool/gates_test.go
@@ -211,6 +211,38 @@
 	}
 }
 
+// TestSecondGateDoesNotSpeakForSilentOne: two gates wait for a job. The message of one counted for the other, which had been
+// silent and may have forwarded the job.
+func TestSecondGateDoesNotSpeakForSilentOne(t *testing.T) {
+	var heardAt time.Time // the earliest of both gates
+	h := watchedHarness(t, 1, func(time.Time) GateContact { return GateContact{HeardAt: heardAt, ConfirmedAt: heardAt} })
+	heardAt = h.now
+	h.pool.Submit(h.now, patientRequest(10*time.Second))
+	starts := h.ordersOfKind(StartOrder)
+	if len(starts) != 1 {
+		t.Fatalf("starts %+v, want 1", starts)
+	}
+	h.reply(starts[0], Reply{Done: true})
+	joined := false
+	for h.now.Sub(heardAt) < MaxGateSilence {
+		h.advance(10 * time.Millisecond)
+		silence := h.now.Sub(heardAt)
+		if silence > maxLeaseSilence && !joined {
+			joined = true
+			r := patientRequest(10 * time.Second)
+			r.GateHeardAt = h.now
+			h.pool.Submit(h.now, r) // of the other gate
+		}
+		orders, _ := h.takePending()
+		for _, o := range orders {
+			if silence := o.Sent.Sub(heardAt); silence > maxLeaseSilence && o.Deadline != 0 {
+				t.Fatalf("%s after the last message of the first gate a lease by %+v", silence, o)
+			}
+			h.reply(o, Reply{Done: true, Running: []RunningTask{{Task: starts[0].Task, Run: starts[0].Run}}})
+		}
+	}
+}
+
 // TestForwardedJobWaitsAfterDivision: a gate received a division late; the job that it forwarded was still
 // running on a worker of another group, under a dispatcher that had not received the division.
 func TestForwardedJobWaitsAfterDivision(t *testing.T) {
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -16,7 +16,6 @@
 	}
 	if j := p.jobs[r.Job.ID]; j != nil && !j.closed {
 		j.callerDeadline = later(j.callerDeadline, now.Add(r.RemainingWait))
-		j.gate.HeardAt = later(j.gate.HeardAt, r.GateHeardAt)
 		if r.MayBeRunning {
 			p.recordForward(now, j, r.EarlierContactAge)
 		}
