--- a/tamarackpin/internal/group/last_contact.go
+++ b/tamarackpin/internal/group/last_contact.go
@@ -39,13 +39,6 @@
 	readsContactAge bool
 }
 
-// shownContact is what this process has shown another VM of its being in contact.
-type shownContact struct {
-	until           time.Time // the newest time that a stamp told
-	calledAt        time.Time // of the newest call
-	unansweredSince time.Time // when the first call was made since that VM was last heard; zero if there was none
-}
-
 // stamp tells when a process made a message, on its own clock, or an earlier time: see lastContacts.show.
 type stamp struct {
 	Incarnation vm.Incarnation `json:"incarnation"`
@@ -55,9 +48,6 @@
 const (
 	// maxClockDrift bounds the difference in rate of the steady clocks of two VMs.
 	maxClockDrift = 0.01
-	// maxCallGap is the time without a call to a VM after which it is not missing any answers: longer than between two
-	// heartbeats to a leader that does not answer, or two pings.
-	maxCallGap = time.Second
 	// contactLifetime is how long the last contact with a process is kept.
 	contactLifetime = time.Minute
 )
@@ -67,117 +57,6 @@
 	return stamp{g.self.Incarnation, wire.Duration(now.Sub(g.startedAt).Truncate(time.Millisecond))}
 }
 
-// stampFor returns the stamp of a call that is made now. It is zero, and left out, until the VM has sent one: earlier
-// builds refuse calls with fields that they don't know. Replies always have one.
-func (g *Group) stampFor(to vm.ID, now time.Time) stamp {
-	if to == g.self.VM {
-		return stamp{} // see contactOf
-	}
-	shown := g.contacts.show(to, now, g.config.Mesh.Connected(to))
-	if g.contacts.newestOf(to) == (stamp{}) {
-		return stamp{}
-	}
-	return g.stampAt(shown)
-}
-
-// replyStamp returns the stamp of a reply that is made now.
-func (g *Group) replyStamp(to vm.ID, now time.Time) stamp {
-	g.contacts.showReply(to, now)
-	return g.stampAt(now)
-}
-
-// show returns the time for the stamp of a call to a VM, and records it. The dispatcher there starts the tasks of this
-// gate's jobs, and extends their leases, by the newest such time. It stands still while that VM does not answer for
-// longer than exchangeTimeout, or the connection has failed: it may be replaced soon, and jobs wait less at the next
-// dispatcher then.
-func (s *lastContacts) show(to vm.ID, now time.Time, connected bool) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.shown[to]
-	switch limit := c.unansweredSince.Add(exchangeTimeout); {
-	case c.unansweredSince.IsZero() || now.Sub(c.calledAt) > maxCallGap:
-		c.unansweredSince, c.until = now, later(c.until, now)
-	case !connected:
-	case now.Before(limit):
-		c.until = later(c.until, now)
-	default:
-		c.until = later(c.until, limit)
-	}
-	c.calledAt = later(c.calledAt, now)
-	s.setShown(to, c)
-	return c.until
-}
-
-// showReply records that a reply to a VM that was just heard has the present time.
-func (s *lastContacts) showReply(to vm.ID, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.setShown(to, shownContact{until: later(s.shown[to].until, now)})
-}
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// answered records that a VM answered a call.
-func (s *lastContacts) answered(id vm.ID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endWait(id)
-}
-
-// endWait records that no call to a VM waits for its first answer. s.mu is held.
-func (s *lastContacts) endWait(id vm.ID) {
-	if c, shown := s.shown[id]; shown {
-		c.unansweredSince = time.Time{}
-		s.shown[id] = c
-	}
-}
-
-// setShown sets the contact that was shown to a VM. s.mu is held.
-func (s *lastContacts) setShown(to vm.ID, c shownContact) {
-	if s.shown == nil {
-		s.shown = make(map[vm.ID]shownContact)
-	}
-	s.shown[to] = c
-}
-
-// isAnswering reports whether no call to a VM has been without an answer for exchangeTimeout.
-func (s *lastContacts) isAnswering(id vm.ID, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	since := s.shown[id].unansweredSince
-	return since.IsZero() || now.Sub(since) < exchangeTimeout
-}
-
-// ContactAge returns how long ago this VM last showed contact to any dispatcher, other than the one in to, that has had a job. It
-// returns zero if the process in to is not known to read it, or if an earlier dispatcher sends no stamps, and so may count
-// a message as of its arrival. It returns contactLifetime at most.
-func (g *Group) ContactAge(now time.Time, earlier []Leader, to Leader) time.Duration {
-	c := &g.contacts
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if p := (process{to.VM, to.Claim.Incarnation}); to.VM != g.self.VM && (c.newest[p.vm].Incarnation != p.incarnation || !c.processes[p].readsContactAge) {
-		return 0
-	}
-	age := contactLifetime
-	for _, l := range earlier {
-		if l.Claim == to.Claim {
-			continue
-		}
-		at := c.shown[l.VM].until
-		if at.IsZero() || c.newest[l.VM] == (stamp{}) { // this VM itself, too
-			return 0
-		}
-		age = min(age, now.Sub(at))
-	}
-	return age
-}
-
 // stampedAt returns when this process made a stamp, or the zero time if another one did.
 func (g *Group) stampedAt(s stamp) time.Time {
 	if s.Incarnation != g.self.Incarnation {
@@ -207,7 +86,11 @@
 
 // hear records that a process sent a message at the given time, by which the dispatcher here may start its jobs.
 func (s *lastContacts) hear(p process, sentAt time.Time) {
-	s.update(p, func(v *lastContact) { v.heardAt = later(v.heardAt, sentAt) })
+	s.update(p, func(v *lastContact) {
+		if sentAt.After(v.heardAt) {
+			v.heardAt = sentAt
+		}
+	})
 }
 
 // recordArrival does what record does, without hear.
