A new leader is heard at once after an orderly handover

After an orderly handover in a failure domain of three or more entry VMs, another one took over from the new leader about 0.6 s later, though it was alive. Jobs in flight waited for both takeovers: in TestWholePath 2.6 s.

Cause: two followers exchange heartbeats every 1.8 s, a leader every 0.15 s. The wait for the next exchange was not recomputed when a follower became leader, unless there was no leader in between, so the others heard nothing of it for up to 1.8 s and counted it as lost after 0.7 s.

Change: the wait is recomputed when a leader changes.

Of the jobs in flight in TestWholePath those that were started take 1.9 s; the others are refused as not run after 1.5 s, so it still fails.

--- a/tamarackpin/internal/gate/handover_test.go
+++ b/tamarackpin/internal/gate/handover_test.go
@@ -192,3 +192,30 @@
 		t.Error("the waiting job was not started")
 	}
 }
+
+// TestOrderlyHandoverIsOneTakeover: after an orderly handover the third VM did not hear the new leader for up to 1.8 s, as both had
+// exchanged heartbeats as followers, and took over from it.
+func TestOrderlyHandoverIsOneTakeover(t *testing.T) {
+	h := newHandover(t)
+	first := -1
+	for end := time.Now().Add(10 * time.Second); first < 0; time.Sleep(10 * time.Millisecond) {
+		if first = h.leader(); time.Now().After(end) {
+			t.Fatal("no leader")
+		}
+	}
+	h.knowledge[first].SetDraining()
+	h.groups[first].Drain(t.Context())
+	drainedAt := time.Now()
+	claims := make(map[lead.Fence]vm.ID)
+	for time.Since(drainedAt) < 3*time.Second {
+		for _, g := range h.groups {
+			if l, _ := g.Leader("j"); l.Claim.VM != "" && l.Claim.VM != h.ids[first] {
+				claims[l.Claim.Fence] = l.Claim.VM
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if len(claims) != 1 {
+		t.Errorf("claims after the handover: %v, want one", claims)
+	}
+}
--- a/tamarackpin/internal/group/directory.go
+++ b/tamarackpin/internal/group/directory.go
@@ -33,6 +33,13 @@
 	return d.leaders[d.division.GroupOf(string(id))], g.change
 }
 
+// leaderChange returns a channel that is closed when any leader changes.
+func (g *Group) leaderChange() <-chan struct{} {
+	g.changeMu.Lock()
+	defer g.changeMu.Unlock()
+	return g.change
+}
+
 // HasLeader reports whether any group has a known leader.
 func (g *Group) HasLeader() bool {
 	return slices.ContainsFunc(g.directory.Load().leaders, func(l Leader) bool { return l.VM != "" })
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -112,7 +112,7 @@
 func (g *Group) exchangeWith(ctx context.Context, id vm.ID) {
 	unresponsive, draining := false, false
 	for ctx.Err() == nil {
-		changed := g.config.Knowledge.Changed()
+		changed, leaderChanged := g.config.Knowledge.Changed(), g.leaderChange()
 		drainingNow := g.config.Knowledge.Self().Draining
 		if wait := g.untilNextExchange(time.Now(), id); wait > 0 && drainingNow == draining {
 			if draining {
@@ -122,6 +122,7 @@
 			case <-ctx.Done():
 			case <-time.After(wait):
 			case <-changed: // this VM may have begun to drain, which it announces at once
+			case <-leaderChanged: // exchanges with a new leader are more frequent
 			}
 			continue
 		}
