--- a/internal/pool/forwards_test.go
+++ b/internal/pool/forwards_test.go
@@ -136,7 +136,7 @@
 }
 
 // neverStarted asks the dispatcher that has a job whether the job was never started, and withdraws the job there if it
-// goes on. One that has stopped said so then, unless its process ended.
+// continues. A dispatcher that has stopped replied at its stop, unless its process ended.
 func (f *forwards) neverStarted(sim *simulation, to int, id job.ID) bool {
 	i, submitted := f.last[id]
 	if !submitted {
--- a/internal/pool/gates_test.go
+++ b/internal/pool/gates_test.go
@@ -86,18 +86,25 @@
 	}
 }
 
+// startPatientJob submits a job of one task whose caller waits for 10 s, and acknowledges its start, which it returns.
+func (h *harness) startPatientJob() Order {
+	h.t.Helper()
+	h.pool.Submit(h.now, patientRequest(10*time.Second))
+	starts := h.ordersOfKind(StartOrder)
+	if len(starts) != 1 {
+		h.t.Fatalf("starts %+v, want 1", starts)
+	}
+	h.reply(starts[0], Reply{Done: true})
+	return starts[0]
+}
+
 // TestRunOfSilentGateGetsNoLease: a dispatcher extended the leases of a job that its gate had forwarded to the
 // next one until the caller's deadline (issue 50).
 func TestRunOfSilentGateGetsNoLease(t *testing.T) {
 	var heardAt time.Time
 	h := watchedHarness(t, 1, func(time.Time) GateContact { return GateContact{HeardAt: heardAt, ConfirmedAt: heardAt} })
 	heardAt = h.now
-	h.pool.Submit(h.now, patientRequest(10*time.Second))
-	starts := h.ordersOfKind(StartOrder)
-	if len(starts) != 1 {
-		t.Fatalf("starts %+v, want 1", starts)
-	}
-	h.reply(starts[0], Reply{Done: true})
+	start := h.startPatientJob()
 	var last time.Time
 	for h.now.Sub(heardAt) < 2*time.Second {
 		h.advance(5 * time.Millisecond)
@@ -108,7 +115,7 @@
 			}
 			r := Reply{Done: true}
 			if o.Kind == RenewOrder {
-				r.Running = []RunningTask{{Task: starts[0].Task, Run: starts[0].Run}}
+				r.Running = []RunningTask{{Task: start.Task, Run: start.Run}}
 			}
 			h.reply(o, r)
 		}
@@ -211,18 +218,13 @@
 	}
 }
 
-// TestSecondGateDoesNotSpeakForSilentOne: two gates wait for a job. The message of one counted for the other, which had been
-// silent and may have forwarded the job.
-func TestSecondGateDoesNotSpeakForSilentOne(t *testing.T) {
+// TestSilentGateOfTwoBlocksLeases: two gates wait for a job. A message of one extended the leases of the job, although the other
+// was silent and may have forwarded it.
+func TestSilentGateOfTwoBlocksLeases(t *testing.T) {
 	var heardAt time.Time // the earliest of both gates
 	h := watchedHarness(t, 1, func(time.Time) GateContact { return GateContact{HeardAt: heardAt, ConfirmedAt: heardAt} })
 	heardAt = h.now
-	h.pool.Submit(h.now, patientRequest(10*time.Second))
-	starts := h.ordersOfKind(StartOrder)
-	if len(starts) != 1 {
-		t.Fatalf("starts %+v, want 1", starts)
-	}
-	h.reply(starts[0], Reply{Done: true})
+	start := h.startPatientJob()
 	joined := false
 	for h.now.Sub(heardAt) < MaxGateSilence {
 		h.advance(10 * time.Millisecond)
@@ -238,7 +240,7 @@
 			if silence := o.Sent.Sub(heardAt); silence > maxLeaseSilence && o.Deadline != 0 {
 				t.Fatalf("%s after the last message of the first gate a lease by %+v", silence, o)
 			}
-			h.reply(o, Reply{Done: true, Running: []RunningTask{{Task: starts[0].Task, Run: starts[0].Run}}})
+			h.reply(o, Reply{Done: true, Running: []RunningTask{{Task: start.Task, Run: start.Run}}})
 		}
 	}
 }
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -31,8 +31,8 @@
 
 const (
 	noFault                   fault = ""
-	faultNoReplyAsUnsent      fault = "a lost reply counts as an order that was never sent"
-	faultStopAckForged        fault = "a stop without a reply counts as acknowledged"
+	faultNoReplyAsUnsent      fault = "a lost reply is treated as proof that the order was never sent"
+	faultStopAckForged        fault = "a stop without a reply is treated as acknowledged"
 	faultLeasesNeverLapse     fault = "leases never lapse"
 	faultFenceIgnored         fault = "workers accept orders with any fence"
 	faultRestartHidden        fault = "replies do not tell a new incarnation from the last"
--- a/internal/pool/unforwarded_test.go
+++ b/internal/pool/unforwarded_test.go
@@ -29,7 +29,7 @@
 }
 
 // heldStarts has starts arrive seconds late at the next incarnations of their workers, which have seen the fence of the next
-// dispatcher. They are sent within OrderTimeout before a handover, so that nobody knows that they got no reply if the
+// dispatcher. They are sent within OrderTimeout before a handover, so that no VM records that they got no reply if the
 // process of their dispatcher ends with it. Those that would arrive before that fence are lost: nothing refuses them,
 // see the comment of this package. A nil heldStarts holds none.
 type heldStarts struct {
--- a/tamarackpin/internal/gate/handover_test.go
+++ b/tamarackpin/internal/gate/handover_test.go
@@ -83,7 +83,7 @@
 	return h
 }
 
-// call carries out an order; runs go on until they are stopped.
+// call carries out an order; runs continue until they are stopped.
 func (h *handover) call(ctx context.Context, o pool.Order) pool.Reply {
 	select {
 	case <-ctx.Done():
--- a/tamarackpin/internal/group/contact_age_test.go
+++ b/tamarackpin/internal/group/contact_age_test.go
@@ -63,7 +63,7 @@
 		t.Errorf("after an idle time the contact shown is %s old", later.Sub(at))
 	}
 	if later = later.Add(exchangeTimeout / 2); !s.isAnswering(otherVM, later) {
-		t.Errorf("the VM counts as one that does not answer %s after the first call", exchangeTimeout/2)
+		t.Errorf("the VM is considered unresponsive %s after the first call", exchangeTimeout/2)
 	}
 }
 
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -58,8 +58,8 @@
 // heartbeat returns a heartbeat for another entry VM.
 func (g *Group) heartbeat(to vm.ID) heartbeat { return g.heartbeatMade(to, g.stampFor(to, time.Now())) }
 
-// heartbeatMade returns a heartbeat with a stamp that was just made. Contact is shown before the claims are read: a gate that
-// has moved on to a newer claim either knows of that contact or tells the claim with it.
+// heartbeatMade returns a heartbeat with a stamp that was just made. The stamp is made before the claims are read: if this
+// gate forwards its jobs because of a newer claim, either ContactAge includes the stamp, or the heartbeat carries the claim.
 func (g *Group) heartbeatMade(to vm.ID, made stamp) heartbeat {
 	now := time.Now()
 	echo := g.contacts.newestOf(to) // before the directory: the claims are to be as new as the echo says
@@ -204,7 +204,7 @@
 	g.recordExchange(now, hb.Self.VM)
 	sender := process{hb.Self.VM, hb.Self.Incarnation}
 	madeAt := g.contacts.recordArrival(now, sender, hb.Made)
-	if !g.tellsOfSuccessor(hb) {
+	if !g.announcesSuccessor(hb) {
 		g.contacts.hear(sender, madeAt)
 	}
 	if hb.ReadsContactAge {
@@ -227,9 +227,9 @@
 	}
 }
 
-// tellsOfSuccessor reports whether a heartbeat tells of a claim or a division that ends a leadership of this VM. Its sender
+// announcesSuccessor reports whether a heartbeat has a claim or a division that ends a leadership of this VM. Its sender
 // may have forwarded its jobs, so it must not extend leases before the goroutine of Run has applied it.
-func (g *Group) tellsOfSuccessor(hb heartbeat) bool {
+func (g *Group) announcesSuccessor(hb heartbeat) bool {
 	d := g.directory.Load()
 	for i, l := range d.leaders {
 		newer := hb.Division.Epoch > d.division.Epoch || hb.Division.Epoch == d.division.Epoch && i < len(hb.Claims) && hb.Claims[i].Fence > l.Claim.Fence
--- a/tamarackpin/internal/group/exchange_test.go
+++ b/tamarackpin/internal/group/exchange_test.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// TestHeartbeatWithNewerClaimIsNoSignOfTheGate: a dispatcher that is behind took the message by which it learns of its
-// successor for a sign of the gate, and extended leases by it before it knew the claim.
+// TestHeartbeatWithNewerClaimIsNoSignOfTheGate: a dispatcher that is behind extended leases because of the heartbeat
+// that announces its successor, before it applied the claim.
 func TestHeartbeatWithNewerClaimIsNoSignOfTheGate(t *testing.T) {
 	g, _ := newLeadingGroup(t)
 	g.publish(time.Now())
@@ -123,7 +123,7 @@
 		hb.Claims, hb.Division, hb.Made = []lead.Claim{c.claim}, c.division, gate.stampAt(time.Now())
 		g.receiveHeartbeat(t.Context(), hb) // Run has not seen it
 		if counts := g.contactOf(time.Now(), ticket).HeardAt.After(before); counts != c.counts {
-			t.Errorf("%s: counts as a sign of the gate: %v, want %v", c.name, counts, c.counts)
+			t.Errorf("%s: extends the contact with the gate: %v, want %v", c.name, counts, c.counts)
 		}
 	}
 }
