--- a/review/second/late-copy/main.go
+++ b/review/second/late-copy/main.go
@@ -1,4 +1,4 @@
-// Command late-copy plays review/6: a job is cancelled, and its POST arrives once more afterwards.
+// Command late-copy plays review/7: a job is cancelled, and its POST arrives once more afterwards.
 package main
 
 import (
--- a/review/second/stand/deployment.go
+++ b/review/second/stand/deployment.go
@@ -92,6 +92,18 @@
 	return d.prefix + fmt.Sprint(d.seq)
 }
 
+// Address returns a loopback address with any free port, for a stand-in.
+func (d *Deployment) Address() string { return d.nextIP() + ":0" }
+
+// Wait waits for the end of the machine's process, and kills it after limit.
+func (n *Node) Wait(limit time.Duration) {
+	select {
+	case <-n.exited:
+	case <-time.After(limit):
+		n.Kill()
+	}
+}
+
 // AddCore returns another core machine, with an empty disk, that is not started.
 func (d *Deployment) AddCore(zone string) *Node {
 	n := &Node{Name: "core-new-" + zone, IP: d.nextIP(), Zone: zone, Core: true, d: d}
@@ -179,12 +191,18 @@
 	_ = n.cmd.Process.Signal(s)
 }
 
+// Quiet sends a signal that is not recorded.
+func (n *Node) Quiet(s syscall.Signal) { _ = n.cmd.Process.Signal(s) }
+
 // Kill kills the machine's process and waits for its end.
 func (n *Node) Kill() {
 	n.Signal(syscall.SIGKILL)
 	<-n.exited
 }
 
+// PID is the id of the machine's process.
+func (n *Node) PID() int { return n.cmd.Process.Pid }
+
 // Alive reports whether the process has not ended.
 func (n *Node) Alive() bool {
 	select {
@@ -300,6 +318,16 @@
 	return status, text
 }
 
+// SubmitUntil does what Submit does, and closes the connection at the deadline.
+func (d *Deployment) SubmitUntil(n *Node, queue, id string, deadline time.Duration, body map[string]any) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	d.Record.Printf("client sends POST /%s/%s to %s", queue, id, n.Name)
+	status, text := Call(ctx, "POST", "http://"+n.FrontAddr()+"/"+queue+"/"+id, "desk.example", map[string]string{"Deadline-Ms": fmt.Sprint(deadline.Milliseconds())}, body)
+	d.Record.Printf("POST /%s/%s to %s is answered %d %s", queue, id, n.Name, status, text)
+	return status, text
+}
+
 // Cancel deletes a job at a front machine.
 func (d *Deployment) Cancel(n *Node, queue, id string) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
--- a/review/second/stand/runner.go
+++ b/review/second/stand/runner.go
@@ -27,6 +27,14 @@
 	starts []Start
 	// running has the tasks at work, by runner and task.
 	running map[string]map[string]int
+	twice   []string
+}
+
+// Twice returns the starts of tasks that were at work on another runner at that moment.
+func (b *Book) Twice() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.twice...)
 }
 
 // NewBook returns an empty Book.
@@ -64,6 +72,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.starts = append(b.starts, s)
+	for other, tasks := range b.running {
+		if run, ok := tasks[s.Task]; ok && other != s.Runner {
+			b.twice = append(b.twice, fmt.Sprintf("%s, run %d, was at work on %s when %s started it as run %d", s.Task, run, other, s.Runner, s.Run))
+			b.Record.Printf("two runs at the same time: %s", b.twice[len(b.twice)-1])
+		}
+	}
 	if b.running[s.Runner] == nil {
 		b.running[s.Runner] = make(map[string]int)
 	}
@@ -106,8 +120,11 @@
 	draining bool
 }
 
+// SetSlots sets how many tasks a runner takes at once.
+func SetSlots(n int) { slots = n }
+
 // slots is how many tasks a runner takes at once.
-const slots = 8
+var slots = 8
 
 // NewRunner starts a runner.
 func NewRunner(d *Deployment, b *Book, id, zone string) (*Runner, error) {
