--- a/review/second/stand/deployment.go
+++ b/review/second/stand/deployment.go
@@ -173,7 +173,7 @@
 	n.cmd.Env = []string{"TAMARACKPIN_SETTINGS=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := n.cmd.Start(); err != nil {
+	if err := startOnOneCore(n.cmd); err != nil {
 		return err
 	}
 	n.exited = make(chan struct{})
--- a/review/second/thaw/main.go
+++ b/review/second/thaw/main.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	jobs     = 12
+	jobs     = 24
 	deadline = 1500 * time.Millisecond // of the sites' requests
 	resend   = 1300 * time.Millisecond // ResendMs
 	freeze   = 3500 * time.Millisecond // for_s of node_freeze in the site's list of troubles
