--- a/review/second/soak/main.go
+++ b/review/second/soak/main.go
@@ -424,6 +424,8 @@
 	unguard := flag.Bool("unguarded", false, "")
 	faults := flag.String("faults", "kill,term,freeze,crash,drop,late,cancel,core,kind", "")
 	perZone := flag.Int("runners", 6, "")
+	leave := flag.Float64("leave", 0, "share of tries whose client leaves early")
+	short := flag.Bool("short", false, "deadlines of 1.5 s")
 	wide := flag.Int("wide", 5, "most tasks of a step")
 	rate := flag.Float64("rate", 25, "jobs a second")
 	flag.Parse()
@@ -617,12 +619,19 @@
 			w.mu.Unlock()
 			own := rand.New(rand.NewPCG(rng.Uint64(), 1))
 			deadline := time.Duration(1500+own.IntN(8000)) * time.Millisecond
+			if *short {
+				deadline = 1500 * time.Millisecond
+			}
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
 				for range 4 {
 					n := d.Fronts[own.IntN(len(d.Fronts))]
-					cctx, cancel := context.WithTimeout(ctx, deadline)
+					patience := deadline
+					if own.Float64() < *leave {
+						patience = time.Duration(20+own.IntN(1400)) * time.Millisecond
+					}
+					cctx, cancel := context.WithTimeout(ctx, patience)
 					var doCancel *time.Timer
 					if has("cancel") && own.IntN(12) == 0 {
 						other := d.Fronts[own.IntN(len(d.Fronts))]
--- a/review/second/stand/deployment.go
+++ b/review/second/stand/deployment.go
@@ -330,7 +330,7 @@
 
 // Cancel deletes a job at a front machine.
 func (d *Deployment) Cancel(n *Node, queue, id string) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	d.Record.Printf("client sends DELETE /%s/%s to %s", queue, id, n.Name)
 	status, text := Call(ctx, "DELETE", "http://"+n.FrontAddr()+"/"+queue+"/"+id, "desk.example", nil, nil)
