--- a/review/second/soak/main.go
+++ b/review/second/soak/main.go
@@ -145,6 +145,8 @@
 	mu       sync.Mutex
 	down     bool
 	crashing bool
+	rate     float64
+	drainAck time.Time
 	draining bool
 	born     time.Time
 	fence    int64
@@ -178,7 +180,7 @@
 	return nil
 }
 
-func (r *runner) clock() int64 { return time.Since(r.born).Milliseconds() + 1 }
+func (r *runner) clock() int64 { return int64(float64(time.Since(r.born).Milliseconds())*r.rate) + 1 }
 
 func (r *runner) crash(d time.Duration, kind string) {
 	r.mu.Lock()
@@ -322,7 +324,7 @@
 }
 
 func (r *runner) extend(dl int64) {
-	u := r.born.Add(time.Duration(min(dl, r.clock()+1000)) * time.Millisecond)
+	u := r.born.Add(time.Duration(float64(min(dl, r.clock()+1000))/r.rate*1e6) * time.Nanosecond)
 	if u.After(r.lease) {
 		r.lease = u
 	}
@@ -350,6 +352,11 @@
 	if !r.w.unguard && sum > 16000 {
 		return "room"
 	}
+	if late := time.Since(r.drainAck); !r.drainAck.IsZero() && late > 2*time.Second {
+		r.w.mu.Lock()
+		r.w.broke("DRAIN %s started on %s %.3f s after the acknowledgement", o.Task, r.id, late.Seconds())
+		r.w.mu.Unlock()
+	}
 	r.highest[o.Task] = o.Run
 	now := time.Now()
 	r.specs[o.Task] = s
@@ -404,6 +411,14 @@
 			if err == nil {
 				_ = resp.Body.Close()
 				if resp.StatusCode == 200 {
+					if state == "draining" {
+						r.mu.Lock()
+						if r.drainAck.IsZero() {
+							r.drainAck = time.Now()
+							r.w.d.Record.Printf("%s: its draining is acknowledged", r.id)
+						}
+						r.mu.Unlock()
+					}
 					break
 				}
 			}
@@ -450,6 +465,7 @@
 		for _, z := range d.Zones {
 			for i := range *perZone {
 				r := &runner{w: w, id: fmt.Sprintf("i-%s-%d", z, i), zone: z, kind: []string{"a", "b"}[i%2], rack: fmt.Sprintf("r%d", i/3), addr: d.Address(), rng: rand.New(rand.NewPCG(*seed, uint64(i)))}
+				r.rate = []float64{1, 0.981}[rng.IntN(2)]
 				r.reset()
 				if r.listen() != nil {
 					return
@@ -548,6 +564,22 @@
 			set(0, 0)
 			d.Record.Printf("orders are not dropped any more")
 		})
+		every("drain", 1*time.Second, 3*time.Second, func(o *rand.Rand) {
+			r := runners[o.IntN(len(runners))]
+			r.mu.Lock()
+			busy := r.draining || r.crashing
+			r.draining = true
+			r.mu.Unlock()
+			if busy {
+				return
+			}
+			d.Record.Printf("%s drains", r.id)
+			time.Sleep(6 * time.Second)
+			r.mu.Lock()
+			r.draining, r.drainAck = false, time.Time{}
+			r.mu.Unlock()
+			r.crash(time.Second, "")
+		})
 		every("slow", 3*time.Second, 7*time.Second, func(o *rand.Rand) {
 			nodeMu.Lock()
 			n := d.Fronts[o.IntN(len(d.Fronts))]
--- a/review/second/stand/deployment.go
+++ b/review/second/stand/deployment.go
@@ -203,6 +203,9 @@
 // PID is the id of the machine's process.
 func (n *Node) PID() int { return n.cmd.Process.Pid }
 
+// LogFile is where the process writes its log.
+func (n *Node) LogFile() string { return filepath.Join(n.d.folder, n.Name+".log") }
+
 // Alive reports whether the process has not ended.
 func (n *Node) Alive() bool {
 	select {
