--- a/review/second/soak/main.go
+++ b/review/second/soak/main.go
@@ -145,6 +145,7 @@
 	mu       sync.Mutex
 	down     bool
 	crashing bool
+	conns    []*muteConn
 	rate     float64
 	drainAck time.Time
 	draining bool
@@ -176,10 +177,61 @@
 	}
 	r.addr = l.Addr().String()
 	r.server = &http.Server{Handler: r}
-	go func() { _ = r.server.Serve(l) }()
+	go func() { _ = r.server.Serve(&muteListener{l, r}) }()
 	return nil
 }
 
+// muteListener accepts connections that can go silent.
+type muteListener struct {
+	net.Listener
+	r *runner
+}
+
+func (l *muteListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	m := &muteConn{Conn: c}
+	l.r.mu.Lock()
+	l.r.conns = append(l.r.conns, m)
+	l.r.mu.Unlock()
+	return m, nil
+}
+
+type muteConn struct {
+	net.Conn
+	mute atomic.Bool
+}
+
+func (c *muteConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.mute.Load() {
+			return n, err
+		}
+	}
+}
+
+func (c *muteConn) Write(b []byte) (int, error) {
+	if c.mute.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// silence has the open connections go silent for good; new ones work.
+func (r *runner) silence(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		if r.rng.Float64() < share {
+			c.mute.Store(true)
+		}
+	}
+	r.conns = nil
+}
+
 func (r *runner) clock() int64 { return int64(float64(time.Since(r.born).Milliseconds())*r.rate) + 1 }
 
 func (r *runner) crash(d time.Duration, kind string) {
@@ -459,6 +511,12 @@
 	var runners []*runner
 	func() {
 		defer d.Close()
+		if has("silent") {
+			if err := d.WithRelays(); err != nil {
+				fmt.Println(err)
+				return
+			}
+		}
 		if d.StartAll() != nil {
 			return
 		}
@@ -580,6 +638,13 @@
 			r.mu.Unlock()
 			r.crash(time.Second, "")
 		})
+		every("silent", 3*time.Second, 8*time.Second, func(o *rand.Rand) {
+			share := []float64{0.3, 0.6, 1}[o.IntN(3)]
+			d.Silence(1 - share)
+			for _, r := range runners {
+				r.silence(share)
+			}
+		})
 		every("slow", 3*time.Second, 7*time.Second, func(o *rand.Rand) {
 			nodeMu.Lock()
 			n := d.Fronts[o.IntN(len(d.Fronts))]
--- a/review/second/stand/deployment.go
+++ b/review/second/stand/deployment.go
@@ -50,6 +50,7 @@
 	Core           bool
 	d              *Deployment
 	cmd            *exec.Cmd
+	relay          net.Listener
 	exited         chan struct{}
 }
 
@@ -62,6 +63,7 @@
 	prefix                                  string
 	Zones                                   []string
 	seq                                     int
+	relays                                  *relays
 }
 
 // New returns a deployment with a core machine in each zone, and the given number of
@@ -146,6 +148,9 @@
 	} else {
 		s["callers"], s["readiness"] = n.FrontAddr(), fmt.Sprintf("%s:%d", n.IP, n.d.ready)
 	}
+	if n.d.relays != nil {
+		s["peer_listen"] = fmt.Sprintf("%s:%d", n.IP, n.d.relays.inner)
+	}
 	return s
 }
 
@@ -228,6 +233,7 @@
 
 // Close ends all processes that were started and removes the temporary folder.
 func (d *Deployment) Close() {
+	defer d.closeRelays()
 	for _, n := range append(append([]*Node(nil), d.Cores...), d.Fronts...) {
 		if n.cmd != nil && n.cmd.Process != nil {
 			_ = n.cmd.Process.Signal(syscall.SIGKILL)
--- a/review/second/stand/runner.go
+++ b/review/second/stand/runner.go
@@ -322,6 +322,10 @@
 			})
 			w.mu.Unlock()
 			n := w.d.Cores[at%len(w.d.Cores)]
+			if w.d.apart(w.Zone, n) {
+				at++
+				continue
+			}
 			resp, err := client.Post("http://"+n.ControlAddr()+"/api/Instances.Heartbeat/"+w.ID, "application/json", bytes.NewReader(b))
 			if err == nil {
 				_ = resp.Body.Close()
