--- a/review/second/soak/main.go
+++ b/review/second/soak/main.go
@@ -491,6 +491,8 @@
 	unguard := flag.Bool("unguarded", false, "")
 	faults := flag.String("faults", "kill,term,freeze,crash,drop,late,cancel,core,kind", "")
 	perZone := flag.Int("runners", 6, "")
+	avoid := flag.Bool("avoid", false, "nothing is submitted at a frozen machine")
+	var frozen atomic.Pointer[stand.Node]
 	leave := flag.Float64("leave", 0, "share of tries whose client leaves early")
 	short := flag.Bool("short", false, "deadlines of 1.5 s")
 	wide := flag.Int("wide", 5, "most tasks of a step")
@@ -585,9 +587,12 @@
 		every("freeze", 3*time.Second, 8*time.Second, func(o *rand.Rand) {
 			nodeMu.Lock()
 			n := d.Fronts[o.IntN(len(d.Fronts))]
+			frozen.Store(n)
+			time.Sleep(20 * time.Millisecond)
 			n.Signal(syscall.SIGSTOP)
 			time.Sleep(time.Duration(400+o.IntN(3000)) * time.Millisecond)
 			n.Signal(syscall.SIGCONT)
+			frozen.Store(nil)
 			nodeMu.Unlock()
 		})
 		every("core", 5*time.Second, 12*time.Second, func(o *rand.Rand) {
@@ -724,6 +729,9 @@
 				defer wg.Done()
 				for range 4 {
 					n := d.Fronts[own.IntN(len(d.Fronts))]
+					for *avoid && frozen.Load() == n {
+						n = d.Fronts[own.IntN(len(d.Fronts))]
+					}
 					patience := deadline
 					if own.Float64() < *leave {
 						patience = time.Duration(20+own.IntN(1400)) * time.Millisecond
