gate: a job is forwarded only after a look at its caller's socket

Cause: the gate took the context of a request for the presence of its caller. net/http reads the end of a connection in the background once the body has been read, so a process that wakes reads a submission, forwards it and has it started before the context ends. Change: before each forward and offload the gate asks the kernel whether the client has closed the connection (poll with POLLRDHUP, which sees the end behind unread bytes too). The forward is stamped with the time of that check, also if a heartbeat was made since, so that a pause in between has the dispatcher refuse it after 0.9 s.

--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -49,6 +49,10 @@
 	OnAnswer  func(routes.RowName, job.Outcome, time.Duration) // called with each answer and the time it took
 	Log       *zap.Logger
 	Mesh      *peer.Mesh // to cancel jobs that other entry VMs hold
+	// CallerLeft reports whether the caller of a job has closed its connection, though the context of Run, from which ctx
+	// is derived, may not have ended yet: a process that was paused reads a submission before the end of its connection.
+	// If it is nil, only the context is considered.
+	CallerLeft func(ctx context.Context) bool
 
 	pending  atomic.Int64
 	lastCall atomic.Uint64
@@ -120,8 +124,17 @@
 	offloadTried := false
 	failures := 0
 	var earlier []group.Leader // that may have started the job
+	unserved := func() pool.Answer {
+		if aborted.Err() != nil {
+			return gateAnswer(r, "the entry VM that accepted it stops")
+		}
+		return gateAnswer(r, "the caller left or its time is over")
+	}
 	for {
-		now := time.Now()
+		now := time.Now() // before the caller is checked, so that a pause in between counts
+		if g.callerLeft(ctx) {
+			return unserved()
+		}
 		r.Age, r.RemainingWait = age+now.Sub(startedAt), deadline.Sub(now)
 		leader, changed := g.Group.Leader(r.Job.ID)
 		if leader.VM == "" {
@@ -139,13 +152,17 @@
 		if r.MayBeRunning {
 			r.EarlierContactAge = g.Group.ContactAge(now, earlier, leader)
 		}
-		result := g.forward(ctx, leader, changed, deadline, r)
+		result := g.forward(ctx, now, leader, changed, deadline, r)
 		if result.Answered && !result.Answer.TryElsewhere {
 			return result.Answer
 		}
 		if result.Answered {
 			offloadTried = true
-			if a, ok := g.offload(ctx, time.Now(), result.Answer.OffloadTo, spare, r); ok {
+			now = time.Now()
+			if g.callerLeft(ctx) {
+				return unserved()
+			}
+			if a, ok := g.offload(ctx, now, result.Answer.OffloadTo, spare, r); ok {
 				return a
 			}
 			r.OffloadRefused = true
@@ -164,14 +181,16 @@
 			return dispatchersFailed
 		}
 		if ctx.Err() != nil || !wait(ctx, nil, retryInterval) {
-			if aborted.Err() != nil {
-				return gateAnswer(r, "the entry VM that accepted it stops")
-			}
-			return gateAnswer(r, "the caller left or its time is over")
+			return unserved()
 		}
 	}
 }
 
+// callerLeft reports whether the caller of a job has left, or the job has ended otherwise. ctx is that of the job.
+func (g *Gate) callerLeft(ctx context.Context) bool {
+	return ctx.Err() != nil || g.CallerLeft != nil && g.CallerLeft(ctx)
+}
+
 // isGivenUp reports whether dispatchers failed on a job within givenUpRetention.
 func (g *Gate) isGivenUp(now time.Time, id job.ID) bool {
 	g.mu.Lock()
@@ -199,14 +218,14 @@
 // offload forwards a job, returned by its own group with TryElsewhere, to the group in spare, or to that of
 // earlier, which may be running it since an earlier try, unless that is zero. ok is false if that group did not run the job and will not.
 // If its fate is unknown, offload returns a final answer, as running it in its own group could run it
-// twice.
+// twice. The caller was there at now.
 func (g *Gate) offload(ctx context.Context, now time.Time, earlier pool.Destination, spare pool.Report, r pool.Request) (a pool.Answer, ok bool) {
 	mayRunThere := earlier != pool.Destination{}
 	if mayRunThere {
 		spare = g.Knowledge.ReportOf(now, earlier)
 	}
 	r.CanOffload, r.Offloaded, r.EarlierContactAge = false, true, 0 // that VM may be of a build that refuses the field
-	result := g.Group.Offload(ctx, spare, g.lastCall.Add(1), r)
+	result := g.Group.Offload(ctx, now, spare, g.lastCall.Add(1), r)
 	event.Log(g.Log, event.JobSpilled, zap.String("job", string(r.Job.ID)), zap.String("failure_domain", string(spare.FailureDomain)), zap.Int("group", int(spare.Group)),
 		zap.Int("free_places", spare.FreeSlots), zap.Bool("again", mayRunThere), zap.Bool("answered", result.Answered), zap.String("outcome", string(result.Answer.Outcome)))
 	switch {
@@ -219,10 +238,10 @@
 	return pool.Answer{}, false
 }
 
-// forward sends the job to the leader and waits for the answer, at most until another
+// forward sends the job, whose caller was there at now, to the leader and waits for the answer, at most until another
 // claim supersedes the leader's. When [Gate.ReleaseWaiting] is called, the leader is asked to answer the
 // job unless it has started.
-func (g *Gate) forward(ctx context.Context, leader group.Leader, changed <-chan struct{}, deadline time.Time, r pool.Request) group.ForwardResult {
+func (g *Gate) forward(ctx context.Context, now time.Time, leader group.Leader, changed <-chan struct{}, deadline time.Time, r pool.Request) group.ForwardResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	number := g.lastCall.Add(1)
@@ -245,7 +264,7 @@
 			}
 		}
 	}()
-	return g.Group.Forward(ctx, leader, number, r)
+	return g.Group.Forward(ctx, now, leader, number, r)
 }
 
 // supersedes reports whether current leads in the place of leader. A leader whose heartbeats
--- a/tamarackpin/internal/group/contain_test.go
+++ b/tamarackpin/internal/group/contain_test.go
@@ -59,7 +59,7 @@
 	g, _ := newLeadingGroup(t)
 	poison := pool.Request{Job: job.Job{ID: "poison", Steps: []job.Step{{Count: 1, After: []int{5}}}}, RemainingWait: time.Minute}
 	result := make(chan ForwardResult, 1)
-	go func() { result <- g.Forward(t.Context(), Leader{VM: g.self.VM}, 1, poison) }()
+	go func() { result <- g.Forward(t.Context(), time.Now(), Leader{VM: g.self.VM}, 1, poison) }()
 	g.waitForCommands(t, 1)
 	g.contain("a command", <-g.ring.Out()) // without a tick before, at which a leader that was paused steps down
 	select {
--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -39,17 +39,18 @@
 // withdrawTimeout bounds the notification of a leader that a job is withdrawn.
 const withdrawTimeout = time.Second
 
-// Forward sends a job to a leader and waits for its answer. When ctx is done before, the
-// job is withdrawn. number must be unique among the calls of this process.
-func (g *Group) Forward(ctx context.Context, to Leader, number uint64, r pool.Request) ForwardResult {
+// Forward sends a job, whose caller was there at now, to a leader and waits for its answer. The leader does not admit the
+// job if it arrives long after now. When ctx is done before the answer, the job is withdrawn. number must be unique among the
+// calls of this process.
+func (g *Group) Forward(ctx context.Context, now time.Time, to Leader, number uint64, r pool.Request) ForwardResult {
 	startedAt := time.Now()
-	result := g.forward(ctx, to, number, r)
+	result := g.forward(ctx, now, to, number, r)
 	g.logUnanswered(to, number, r.Job.ID, time.Since(startedAt), result)
 	return result
 }
 
-func (g *Group) forward(ctx context.Context, to Leader, number uint64, r pool.Request) ForwardResult {
-	req := forwardRequest{Ticket{g.self.VM, g.self.Incarnation, number}, to.Group, to.Epoch, r, g.stampFor(to.VM, time.Now())}
+func (g *Group) forward(ctx context.Context, now time.Time, to Leader, number uint64, r pool.Request) ForwardResult {
+	req := forwardRequest{Ticket{g.self.VM, g.self.Incarnation, number}, to.Group, to.Epoch, r, g.stampFor(to.VM, now)}
 	var reply forwardReply
 	var err error
 	if to.VM == g.self.VM {
--- a/tamarackpin/internal/group/last_contact_test.go
+++ b/tamarackpin/internal/group/last_contact_test.go
@@ -219,3 +219,19 @@
 		t.Errorf("the own gate: %+v", c)
 	}
 }
+
+// TestForwardIsStampedWithTheCheckOfItsCaller: a gate that is paused between the check of a job's caller and the forward must
+// not tell a later time, also if it has made a heartbeat meanwhile: the caller may have left.
+func TestForwardIsStampedWithTheCheckOfItsCaller(t *testing.T) {
+	checkedAt := time.Now()
+	g, _, _ := newTestGroup("ip-0a000001", checkedAt.Add(-time.Minute), nil)
+	const other = "ip-0a000002"
+	g.contacts.record(checkedAt, process{other, 1}, stamp{1, wire.Duration(time.Minute)})
+	const pause = pool.MaxGateSilence
+	for _, called := range []time.Duration{pause, 0, 2 * pause, pause} { // since the check; the second and the last are overtaken
+		g.contacts.answered(other)
+		if made := g.stampFor(other, checkedAt.Add(called)); g.stampedAt(made).After(checkedAt.Add(called)) {
+			t.Errorf("a call whose caller was checked at %s is stamped with %s", called, g.stampedAt(made).Sub(checkedAt))
+		}
+	}
+}
--- a/tamarackpin/internal/group/offload.go
+++ b/tamarackpin/internal/group/offload.go
@@ -85,9 +85,9 @@
 	}
 }
 
-// Offload forwards a job to the dispatcher of another group. It withdraws the job once
+// Offload forwards a job, whose caller was there at now, to the dispatcher of another group. It withdraws the job once
 // that VM has been silent for silenceTimeout.
-func (g *Group) Offload(ctx context.Context, to pool.Report, number uint64, r pool.Request) ForwardResult {
+func (g *Group) Offload(ctx context.Context, now time.Time, to pool.Report, number uint64, r pool.Request) ForwardResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := g.offloads.add(to.VM, func(ctx context.Context, p *pingedVM) { g.pingLoop(ctx, to.VM, p) })
@@ -99,7 +99,7 @@
 			cancel()
 		}
 	}()
-	return g.Forward(ctx, Leader{VM: to.VM, Group: to.Group, Epoch: to.Epoch}, number, r)
+	return g.Forward(ctx, now, Leader{VM: to.VM, Group: to.Group, Epoch: to.Epoch}, number, r)
 }
 
 // pingLoop pings a VM until ctx is done or the VM counts as silent. Each ping has a
--- a/tamarackpin/internal/group/offload_test.go
+++ b/tamarackpin/internal/group/offload_test.go
@@ -70,7 +70,7 @@
 // because its dispatcher is behind with everything, pings included.
 func TestSlowGroupKeepsOffloadedJob(t *testing.T) {
 	g := (&otherGroup{pingLag: 600 * time.Millisecond, jobTime: 1800 * time.Millisecond}).serve(t)
-	result := g.Offload(t.Context(), pool.Report{VM: "ip-0a000002"}, 1, pool.Request{Job: job.Job{ID: "a"}})
+	result := g.Offload(t.Context(), time.Now(), pool.Report{VM: "ip-0a000002"}, 1, pool.Request{Job: job.Job{ID: "a"}})
 	if !result.Answered || result.Answer.Outcome != job.Completed {
 		t.Errorf("the job was given up while its group replied late: %+v", result)
 	}
@@ -83,7 +83,7 @@
 	g := o.serve(t)
 	const number = 7
 	for _, to := range []job.ID{"a", "b"} {
-		result := g.Forward(t.Context(), Leader{VM: "ip-0a000002"}, number, pool.Request{Job: job.Job{ID: to}})
+		result := g.Forward(t.Context(), time.Now(), Leader{VM: "ip-0a000002"}, number, pool.Request{Job: job.Job{ID: to}})
 		if got, want := result.Answered, to == "b"; got != want {
 			t.Errorf("job %s: answered %v with the outcome of job b, want %v", to, got, want)
 		}
@@ -108,7 +108,7 @@
 	done := make(chan ForwardResult)
 	for i := range jobs {
 		go func() {
-			done <- g.Offload(t.Context(), pool.Report{VM: "ip-0a000002"}, uint64(i), pool.Request{Job: job.Job{ID: "a"}})
+			done <- g.Offload(t.Context(), time.Now(), pool.Report{VM: "ip-0a000002"}, uint64(i), pool.Request{Job: job.Job{ID: "a"}})
 		}()
 	}
 	for range jobs {
--- a/tamarackpin/internal/group/shown_contact.go
+++ b/tamarackpin/internal/group/shown_contact.go
@@ -34,6 +34,9 @@
 	if g.contacts.newestOf(to) == (stamp{}) {
 		return stamp{}
 	}
+	if now.Before(shown) { // a later call came first
+		shown = now
+	}
 	return g.stampAt(shown)
 }
 
--- a/tamarackpin/internal/group/superseded_test.go
+++ b/tamarackpin/internal/group/superseded_test.go
@@ -49,7 +49,7 @@
 		})
 	})
 	g.contacts.show(otherVM, time.Now().Add(-2*exchangeTimeout), true)
-	if r := g.Forward(t.Context(), Leader{VM: otherVM}, 1, oneTask("j", time.Second)); !r.Answered {
+	if r := g.Forward(t.Context(), time.Now(), Leader{VM: otherVM}, 1, oneTask("j", time.Second)); !r.Answered {
 		t.Fatalf("the forward got %+v", r)
 	}
 	if now := time.Now(); g.contacts.show(otherVM, now, true) != now {
@@ -76,7 +76,7 @@
 	for number := range uint64(4) {
 		ctx, cancel := context.WithCancelCause(t.Context())
 		results := make(chan ForwardResult, 1)
-		go func() { results <- g.Forward(ctx, Leader{VM: otherVM}, number, oneTask("j", time.Second)) }()
+		go func() { results <- g.Forward(ctx, time.Now(), Leader{VM: otherVM}, number, oneTask("j", time.Second)) }()
 		select {
 		case <-arrived:
 		case <-time.After(time.Second):
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithCancelCause(t.Context())
 	cancel(ErrSuperseded)
 	startedAt := time.Now()
-	if r := g.Forward(ctx, Leader{VM: otherVM}, 9, oneTask("j", time.Second)); time.Since(startedAt) > tolerance {
+	if r := g.Forward(ctx, time.Now(), Leader{VM: otherVM}, 9, oneTask("j", time.Second)); time.Since(startedAt) > tolerance {
 		t.Errorf("a VM that does not answer was asked: %+v after %s", r, time.Since(startedAt))
 	}
 }
@@ -132,7 +132,7 @@
 				cancels[id] = cancel
 				r := oneTask(id, time.Second)
 				r.Stretch = 10
-				go func() { results[id] <- g.Forward(ctx, Leader{VM: otherVM}, uint64(i+1), r) }()
+				go func() { results[id] <- g.Forward(ctx, time.Now(), Leader{VM: otherVM}, uint64(i+1), r) }()
 				for pending := false; !pending; _, pending = leading.groups[0].pool.Lookup(id) {
 					leading.runNext(t)
 				}
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -95,7 +95,7 @@
 			Knowledge: n.Knowledge, Syncer: n.syncer, Mesh: n.mesh, Log: log,
 			LeaseMax: s.LeaseMax.Std(), StopMax: s.StopMax.Std(), Call: a.Order,
 		}, &n.mux)
-		n.Gate = &gate.Gate{Group: n.group, Knowledge: n.Knowledge, Log: log, Mesh: n.mesh, OnAnswer: n.metrics.Job}
+		n.Gate = &gate.Gate{Group: n.group, Knowledge: n.Knowledge, Log: log, Mesh: n.mesh, OnAnswer: n.metrics.Job, CallerLeft: clientLeft}
 		n.Gate.Register(&n.mux)
 	}
 	if self.Control {
@@ -208,7 +208,7 @@
 func (n *Node) server(h http.Handler) *http.Server {
 	errorLog, _ := zap.NewStdLogAt(n.log, zap.DebugLevel)
 	return &http.Server{
-		Handler: n.closeWhenDraining(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: errorLog,
+		Handler: n.closeWhenDraining(h), ConnContext: withConnection, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: errorLog,
 	}
 }
 
