group: a withdrawal is repeated until it is acknowledged

What callers would see (TWICE): a caller that left and submitted its job again in another failure domain, 1.3 s later, had the first run beside the second, until the first ended. Cause: a gate sent the withdrawal of a job once, as a notification whose error it dropped. It was lost with a connection that had gone silent. The heartbeats on the gate's next connection showed contact, and the dispatcher extended the leases of all its jobs. Change: the withdrawal is a call, repeated until its dispatcher has acknowledged it. Until then calls and replies to that VM are stamped with the time of the withdrawal at most, so that leases end in time even if every repetition is lost.

--- a/tamarackpin/internal/gate/handover_test.go
+++ b/tamarackpin/internal/gate/handover_test.go
@@ -30,12 +30,14 @@
 
 	mu      sync.Mutex // guards the fields below
 	running map[worker.ID]pool.RunningTask
+	lease   map[worker.ID]time.Time  // when the runs lapse
 	fence   map[worker.ID]lead.Fence // highest seen
 	starts  chan pool.Order
+	proxies []*silencingProxy // before the VMs' addresses
 }
 
 func newHandover(t *testing.T) *handover {
-	h := &handover{ids: []vm.ID{"ip-0a000001", "ip-0a000002", "ip-0a000003"}, running: make(map[worker.ID]pool.RunningTask), fence: make(map[worker.ID]lead.Fence), starts: make(chan pool.Order, 100)}
+	h := &handover{ids: []vm.ID{"ip-0a000001", "ip-0a000002", "ip-0a000003"}, running: make(map[worker.ID]pool.RunningTask), lease: make(map[worker.ID]time.Time), fence: make(map[worker.ID]lead.Fence), starts: make(chan pool.Order, 100)}
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	addresses := make(map[vm.ID]string)
@@ -46,7 +48,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		addresses[id] = l.Addr().String()
+		p := newSilencingProxy(t, l.Addr().String())
+		h.proxies, addresses[id] = append(h.proxies, p), p.listener.Addr().String()
 		k := fleet.NewKnowledge(vm.Presence{VM: id, FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
 		m := &peer.Mesh{Self: id, Recorder: &report.Recorder{}, FailuresToRedial: 2, Address: func(id vm.ID) (string, bool) { return addresses[id], true }}
 		s := &fleet.Syncer{Knowledge: k, Mesh: m, Log: zap.NewNop()}
@@ -83,7 +86,7 @@
 	return h
 }
 
-// call carries out an order; runs continue until they are stopped.
+// call carries out an order; runs continue until they are stopped or lapse.
 func (h *handover) call(ctx context.Context, o pool.Order) pool.Reply {
 	select {
 	case <-ctx.Done():
@@ -98,6 +101,12 @@
 		return r
 	}
 	h.fence[o.Worker] = o.Fence
+	if !time.Now().Before(h.lease[o.Worker]) {
+		delete(h.running, o.Worker)
+	}
+	if o.Deadline != 0 {
+		h.lease[o.Worker] = time.Unix(0, handoverEpoch+int64(o.Deadline))
+	}
 	switch o.Kind {
 	case pool.StartOrder:
 		h.running[o.Worker] = pool.RunningTask{Task: o.Task, Run: o.Run}
@@ -111,6 +120,18 @@
 	return r
 }
 
+// isRunning reports whether a task of a job is running.
+func (h *handover) isRunning(now time.Time, id job.ID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for w, r := range h.running {
+		if r.Task.Job == id && now.Before(h.lease[w]) {
+			return true
+		}
+	}
+	return false
+}
+
 var handoverEpoch = time.Now().Add(-time.Minute).UnixNano()
 
 // announce makes a worker known to all VMs.
@@ -141,16 +162,22 @@
 	return -1
 }
 
+// awaitLeader waits until all VMs follow a leader, and returns its index.
+func (h *handover) awaitLeader(t *testing.T) (leader int) {
+	leader = -1
+	for end := time.Now().Add(10 * time.Second); leader < 0; time.Sleep(10 * time.Millisecond) {
+		if leader = h.leader(); time.Now().After(end) {
+			t.Fatal("no leader")
+		}
+	}
+	return leader
+}
+
 // TestWaitingJobStartsAtOnceAfterHandover: a leader that drains is replaced. The jobs that it never started waited for 1.8 s at
 // its successor, as their runs might have gone on.
 func TestWaitingJobStartsAtOnceAfterHandover(t *testing.T) {
 	h := newHandover(t)
-	first := -1
-	for end := time.Now().Add(10 * time.Second); first < 0; time.Sleep(10 * time.Millisecond) {
-		if first = h.leader(); time.Now().After(end) {
-			t.Fatal("no leader")
-		}
-	}
+	first := h.awaitLeader(t)
 	time.Sleep(1600 * time.Millisecond) // until it knows that no earlier dispatcher has runs
 	h.announce("w1")
 	ctx, stop := context.WithCancel(t.Context())
@@ -197,12 +224,7 @@
 // exchanged heartbeats as followers, and took over from it.
 func TestOrderlyHandoverIsOneTakeover(t *testing.T) {
 	h := newHandover(t)
-	first := -1
-	for end := time.Now().Add(10 * time.Second); first < 0; time.Sleep(10 * time.Millisecond) {
-		if first = h.leader(); time.Now().After(end) {
-			t.Fatal("no leader")
-		}
-	}
+	first := h.awaitLeader(t)
 	h.knowledge[first].SetDraining()
 	h.groups[first].Drain(t.Context())
 	drainedAt := time.Now()
--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -36,8 +36,13 @@
 // next dispatcher keeps the runs of the job meanwhile (orphanGrace of package pool).
 const supersededTimeout = 100 * time.Millisecond
 
-// withdrawTimeout bounds the notification of a leader that a job is withdrawn.
-const withdrawTimeout = time.Second
+const (
+	// withdrawTimeout bounds the attempts to withdraw a job. Long before, its dispatcher has withdrawn all jobs of this gate,
+	// as no message of it has shown contact since (pool.MaxGateSilence).
+	withdrawTimeout = 3 * time.Second
+	// withdrawRetryInterval is the pause before the next attempt, once the connection of the last one has failed.
+	withdrawRetryInterval = 50 * time.Millisecond
+)
 
 // Forward sends a job, whose caller was there at now, to a leader and waits for its answer. The leader does not admit the
 // job if it arrives long after now. When ctx is done before the answer, the job is withdrawn. number must be unique among the
@@ -77,7 +82,7 @@
 		w := withdrawal{req.Ticket, r.Job.ID}
 		switch {
 		case !errors.Is(context.Cause(ctx), ErrSuperseded) || !g.contacts.isAnswering(to.VM, time.Now()):
-			go g.notifyWithdrawn(context.WithoutCancel(ctx), to.VM, w)
+			g.startWithdrawal(context.WithoutCancel(ctx), to.VM, w)
 		case g.reclaim(context.WithoutCancel(ctx), to.VM, w):
 			return ForwardResult{Err: err}
 		}
@@ -131,7 +136,7 @@
 		reply, err := peer.Call[reclaimReply](callCtx, g.config.Mesh, from, report.UseForward, methodReclaim, w)
 		if neverStarted <- err == nil && reply.NeverStarted; err != nil {
 			g.config.Log.Debug("a replaced dispatcher did not tell whether it has started a job", zap.String("job", string(w.Job)), zap.String("vm", string(from)), event.Err(err))
-			g.notifyWithdrawn(ctx, from, w) // an earlier build does not know the method
+			g.startWithdrawal(ctx, from, w) // an earlier build does not know the method
 		}
 	}()
 	timer := time.NewTimer(supersededTimeout)
@@ -144,9 +149,26 @@
 	}
 }
 
-func (g *Group) notifyWithdrawn(ctx context.Context, leader vm.ID, w withdrawal) {
-	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
-	defer cancel()
-	// If the notification is lost, the job ends at the latest at its caller's deadline.
-	_ = g.config.Mesh.Notify(ctx, leader, report.UseForward, methodWithdraw, w)
+// startWithdrawal withdraws a job from a leader in the background. Until the leader has acknowledged that, calls to its VM show no
+// contact after the present time: by a newer one it would extend the leases of the job, whose caller may submit it again.
+func (g *Group) startWithdrawal(ctx context.Context, leader vm.ID, w withdrawal) {
+	now := time.Now()
+	g.contacts.hold(leader, w.Ticket.Number, now)
+	go func() {
+		defer g.contacts.release(leader, w.Ticket.Number)
+		ctx, cancel := context.WithDeadline(ctx, now.Add(withdrawTimeout))
+		defer cancel()
+		for attempt := 1; ; attempt++ {
+			_, err := peer.Call[struct{}](ctx, g.config.Mesh, leader, report.UseForward, methodWithdraw, w)
+			if err == nil {
+				return
+			}
+			g.config.Log.Debug("a job was not withdrawn", zap.String("job", string(w.Job)), zap.String("vm", string(leader)), zap.Int("attempt", attempt), event.Err(err))
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(withdrawRetryInterval):
+			}
+		}
+	}()
 }
--- a/tamarackpin/internal/group/last_contact_test.go
+++ b/tamarackpin/internal/group/last_contact_test.go
@@ -235,3 +235,46 @@
 		}
 	}
 }
+
+// TestNoContactIsShownBeforeAWithdrawalIsAcknowledged: a heartbeat that overtook the withdrawal of a job had its leases extended
+// after its caller had left.
+func TestNoContactIsShownBeforeAWithdrawalIsAcknowledged(t *testing.T) {
+	const other = "ip-0a000002"
+	var s lastContacts
+	startedAt := time.Now()
+	at := func(ms int) time.Time { return startedAt.Add(time.Duration(ms) * time.Millisecond) }
+	for _, c := range []struct {
+		at      int // ms
+		hold    uint64
+		release uint64
+		want    int // ms, that a call or a reply shows
+	}{
+		{at: 0, want: 0},
+		{at: 10, hold: 1, want: 10},
+		{at: 20, want: 10},
+		{at: 30, hold: 2, want: 10},
+		{at: 40, release: 1, want: 30},
+		{at: 2000, want: 30},
+		{at: 2010, release: 2, want: 2010},
+		{at: 2020, want: 2020},
+	} {
+		now := at(c.at)
+		if c.hold > 0 {
+			s.hold(other, c.hold, now)
+		}
+		if c.release > 0 {
+			s.release(other, c.release)
+		}
+		s.answered(other)
+		if call, reply := s.show(other, now, true), s.showReply(other, now); !call.Equal(at(c.want)) || !reply.Equal(at(c.want)) {
+			t.Errorf("after %d ms a call shows contact at %s and a reply at %s, want %d ms", c.at, call.Sub(startedAt), reply.Sub(startedAt), c.want)
+		}
+		if elsewhere := s.show("ip-0a000003", now, true); !elsewhere.Equal(now) {
+			t.Errorf("after %d ms a call to another VM shows contact at %s", c.at, elsewhere.Sub(startedAt))
+		}
+		s.answered("ip-0a000003")
+	}
+	if len(s.held) > 0 {
+		t.Errorf("kept: %v", s.held)
+	}
+}
--- a/tamarackpin/internal/group/shown_contact.go
+++ b/tamarackpin/internal/group/shown_contact.go
@@ -42,14 +42,13 @@
 
 // replyStamp returns the stamp of a reply that is made now.
 func (g *Group) replyStamp(to vm.ID, now time.Time) stamp {
-	g.contacts.showReply(to, now)
-	return g.stampAt(now)
+	return g.stampAt(g.contacts.showReply(to, now))
 }
 
 // show returns the time for the stamp of a call to a VM, and records it. The dispatcher there starts the tasks of this
 // gate's jobs, and extends their leases, by the newest such time. It stands still while that VM does not answer for
 // longer than exchangeTimeout, or the connection has failed: it may be replaced soon, and jobs wait less at the next
-// dispatcher then.
+// dispatcher then. It also stands still while a withdrawal is not acknowledged.
 func (s *lastContacts) show(to vm.ID, now time.Time, connected bool) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,12 +56,12 @@
 	switch limit := c.unansweredSince.Add(exchangeTimeout); {
 	case c.unansweredSince.IsZero() || now.Sub(c.calledAt) > maxCallGap:
 		c.unansweredSince = now
-		c.extend(now)
+		c.extend(s.capHeld(to, now))
 	case !connected:
 	case now.Before(limit):
-		c.extend(now)
+		c.extend(s.capHeld(to, now))
 	default:
-		c.extend(limit)
+		c.extend(s.capHeld(to, limit))
 	}
 	if now.After(c.calledAt) {
 		c.calledAt = now
@@ -71,13 +70,48 @@
 	return c.until
 }
 
-// showReply records that a reply to a VM that was just heard has the present time.
-func (s *lastContacts) showReply(to vm.ID, now time.Time) {
+// showReply returns the time for the stamp of a reply to a VM that was just heard, and records it: the present one, unless a
+// withdrawal is not acknowledged.
+func (s *lastContacts) showReply(to vm.ID, now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := shownContact{until: s.shown[to].until}
-	c.extend(now)
+	at := s.capHeld(to, now)
+	c.extend(at)
 	s.setShown(to, c)
+	return at
+}
+
+// hold has the stamps for a VM stand still until release is called with the same number.
+func (s *lastContacts) hold(to vm.ID, number uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held == nil {
+		s.held = make(map[vm.ID]map[uint64]time.Time)
+	}
+	if s.held[to] == nil {
+		s.held[to] = make(map[uint64]time.Time)
+	}
+	s.held[to][number] = now
+}
+
+// release ends hold.
+func (s *lastContacts) release(to vm.ID, number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if delete(s.held[to], number); len(s.held[to]) == 0 {
+		delete(s.held, to)
+	}
+}
+
+// capHeld returns t, or the time at which the stamps for a VM stand still if that is earlier. s.mu is held.
+func (s *lastContacts) capHeld(to vm.ID, t time.Time) time.Time {
+	for _, at := range s.held[to] {
+		if at.Before(t) {
+			t = at
+		}
+	}
+	return t
 }
 
 // answered records that a VM answered a call.
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"tamarackpin.example/internal/code"
+	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
@@ -108,8 +111,7 @@
 		return g.runJob(ctx, req)
 	})
 	peer.Handle(x, methodWithdraw, func(ctx context.Context, _ vm.ID, w withdrawal) (struct{}, error) {
-		g.enqueueWithdrawal(ctx, w)
-		return struct{}{}, nil
+		return struct{}{}, g.enqueueWithdrawal(ctx, w)
 	})
 	peer.Handle(x, methodReclaim, func(ctx context.Context, _ vm.ID, w withdrawal) (reclaimReply, error) {
 		return g.serveReclaim(ctx, w), nil
@@ -155,7 +157,7 @@
 			return r.reply(), nil
 		default:
 		}
-		g.enqueueWithdrawal(context.WithoutCancel(ctx), withdrawal{req.Ticket, req.Request.Job.ID})
+		_ = g.enqueueWithdrawal(context.WithoutCancel(ctx), withdrawal{req.Ticket, req.Request.Job.ID}) // logged; a gate elsewhere repeats it
 		return forwardReply{}, code.New(code.Cancelled, "the gate left")
 	}
 }
@@ -171,10 +173,14 @@
 
 // enqueueWithdrawal has the goroutine of Run handle a withdrawal. The job continues if
 // another gate waits for it.
-func (g *Group) enqueueWithdrawal(ctx context.Context, w withdrawal) {
+func (g *Group) enqueueWithdrawal(ctx context.Context, w withdrawal) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.handleWithdrawal(now, w) })
+	if err := g.ring.Put(ctx, func(g *Group, now time.Time) { g.handleWithdrawal(now, w) }); err != nil {
+		g.config.Log.Debug("the dispatcher is too far behind for a withdrawal", zap.String("job", string(w.Job)), event.Err(err))
+		return code.New(code.Cancelled, "the dispatcher is too far behind for a withdrawal")
+	}
+	return nil
 }
 
 // serveReclaim has the goroutine of Run handle a withdrawal, and waits for that.
