--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -72,6 +72,8 @@
 	JobCompleted      ID = 821
 	AnswerMisdirected ID = 822
 	StartRepeated     ID = 823
+	JobWithdrawn      ID = 824
+	WithdrawalDelayed ID = 825
 )
 
 // Entry describes one event.
@@ -140,6 +142,8 @@
 	{JobCompleted, zapcore.InfoLevel, "job completed by its dispatcher", "`ends` has a row for each of its `tasks`, at most 16: its phase, run, and the end that was counted for it, by worker, incarnation and number of the end. A row whose phase is not finished, or without a worker, is a fault. Report it."},
 	{AnswerMisdirected, zapcore.ErrorLevel, "answer names another job", "A dispatcher's answer to the call for `job` names `answered`. It was not delivered; the gate withdraws the job and forwards it again. Report it."},
 	{StartRepeated, zapcore.InfoLevel, "start ordered again", "An earlier order of the same run got no reply, and its worker replies again. The worker carries the run out once. The fields are those of 807."},
+	{JobWithdrawn, zapcore.InfoLevel, "job withdrawn by its gate", "The caller left or its time was over, or the gate forwarded the job to another dispatcher. `gate_silence` is the time since the newest message of the gate, and `gates` says how many gates wait for the job still: while there is one, it continues."},
+	{WithdrawalDelayed, zapcore.WarnLevel, "withdrawal was repeated", "A dispatcher acknowledged the withdrawal of `job` only after `attempts`, or, without `acknowledged`, not within `took`. Until then this gate showed it no contact, so that it stopped extending leases of this gate's jobs. Look for lost connections between the two VMs."},
 }
 
 var byID = func() map[ID]Entry {
--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -158,17 +158,29 @@
 		defer g.contacts.release(leader, w.Ticket.Number)
 		ctx, cancel := context.WithDeadline(ctx, now.Add(withdrawTimeout))
 		defer cancel()
-		for attempt := 1; ; attempt++ {
+		var failure error // of the last attempt that failed
+		acknowledged := false
+		attempts := 0
+		for !acknowledged && (attempts == 0 || pause(ctx, withdrawRetryInterval)) {
+			attempts++
 			_, err := peer.Call[struct{}](ctx, g.config.Mesh, leader, report.UseForward, methodWithdraw, w)
-			if err == nil {
-				return
-			}
-			g.config.Log.Debug("a job was not withdrawn", zap.String("job", string(w.Job)), zap.String("vm", string(leader)), zap.Int("attempt", attempt), event.Err(err))
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(withdrawRetryInterval):
+			if acknowledged = err == nil; !acknowledged {
+				failure = err
 			}
 		}
+		if failure != nil {
+			event.Log(g.config.Log, event.WithdrawalDelayed, zap.String("job", string(w.Job)), zap.String("vm", string(leader)), zap.Uint64("number", w.Ticket.Number),
+				zap.Int("attempts", attempts), zap.Bool("acknowledged", acknowledged), zap.Duration("took", time.Since(now)), event.Err(failure))
+		}
 	}()
 }
+
+// pause waits for d, and reports whether ctx is not done then.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/tamarackpin/internal/group/work.go
+++ b/tamarackpin/internal/group/work.go
@@ -234,7 +234,10 @@
 // arrives. It reports whether the job is withdrawn and was never started.
 func (g *Group) handleWithdrawal(now time.Time, w withdrawal) (neverStarted bool) {
 	for _, s := range g.groups {
+		a := s.admissions[w.Ticket]
 		if waits, neverStarted := s.withdraw(now, w); waits {
+			event.Log(g.config.Log, event.JobWithdrawn, zap.String("job", string(w.Job)), zap.String("gate", string(w.Ticket.Gate)), zap.Uint64("number", w.Ticket.Number),
+				zap.Duration("gate_silence", now.Sub(g.contactOf(now, w.Ticket).HeardAt)), zap.Int("gates", len(s.waiters[a])))
 			return neverStarted
 		}
 	}
