gate: a canceled job is not run by a request that is read later

Cause: a cancel ended the pending calls of its job and was forgotten. A cancel is told to all entry VMs, also if the first one held the job. Ruled out: starts by a dispatcher after the withdrawal; in both cases the job came as a new forward.

--- a/tamarackpin/internal/gate/cancel.go
+++ b/tamarackpin/internal/gate/cancel.go
@@ -31,17 +31,23 @@
 
 // Register registers the gate's methods with x.
 func (g *Gate) Register(x *peer.Mux) {
-	peer.Handle(x, methodCancel, func(_ context.Context, _ vm.ID, id job.ID) (bool, error) { return g.cancelHere(id), nil })
+	peer.Handle(x, methodCancel, func(_ context.Context, _ vm.ID, id job.ID) (bool, error) { return g.cancelHere(time.Now(), id), nil })
 }
 
 // Cancel cancels a job wherever it is pending, and reports whether it was found. The gate that holds it
-// withdraws it from its dispatcher, which stops its tasks and starts no others. An entry VM that refuses
-// connections has no process, and the jobs that its gate held ended with it: callers' connections had to be
+// withdraws it from its dispatcher, which stops its tasks and starts no others. A request for it that a gate reads later is
+// answered as canceled. An entry VM that refuses connections has no process, and the jobs that its gate held ended with it: callers' connections had to be
 // open. One that is silent may hold the job, or accept it while it is cut off from this VM.
 func (g *Gate) Cancel(ctx context.Context, id job.ID) (found bool, err error) {
-	if g.cancelHere(id) {
+	if g.cancelHere(time.Now(), id) {
+		go func() { _, _ = g.cancelElsewhere(context.WithoutCancel(ctx), id) }() // it may have arrived at others, too; what fails is logged
 		return true, nil
 	}
+	return g.cancelElsewhere(ctx, id)
+}
+
+// cancelElsewhere cancels a job at all other entry VMs.
+func (g *Gate) cancelElsewhere(ctx context.Context, id job.ID) (found bool, err error) {
 	var mu sync.Mutex // guards the results
 	var calls sync.WaitGroup
 	for _, p := range g.Knowledge.VMs(func(p vm.Present) bool { return p.Callers }) {
@@ -66,10 +72,11 @@
 	return false, err
 }
 
-// cancelHere cancels a job that this gate holds, and reports whether it does.
-func (g *Gate) cancelHere(id job.ID) bool {
+// cancelHere cancels a job at this gate, and reports whether it was pending.
+func (g *Gate) cancelHere(now time.Time, id job.ID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.cancelled.add(now, id)
 	for _, cancel := range g.cancels[id] {
 		(*cancel)(errCancelled)
 	}
@@ -77,10 +84,13 @@
 }
 
 // holdCancel keeps the function that cancels a job, which may be pending more than once, until the
-// returned function is called.
-func (g *Gate) holdCancel(id job.ID, cancel context.CancelCauseFunc) (release func()) {
+// returned function is called. It calls it at once if the job was canceled before.
+func (g *Gate) holdCancel(now time.Time, id job.ID, cancel context.CancelCauseFunc) (release func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.cancelled.has(now, id) {
+		cancel(errCancelled)
+	}
 	if g.cancels == nil {
 		g.cancels = make(map[job.ID][]*context.CancelCauseFunc)
 	}
--- a/tamarackpin/internal/gate/cancel_test.go
+++ b/tamarackpin/internal/gate/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/tamarackpin/internal/fleet"
@@ -20,6 +22,7 @@
 type otherVM struct {
 	listener net.Listener
 	stop     context.CancelFunc // ends the listener and all connections; nil if calls are not served
+	gate     *Gate              // nil if calls are not served
 }
 
 // newOtherVM returns an entry VM whose gate serves calls, or whose process is frozen.
@@ -34,7 +37,8 @@
 		return o
 	}
 	var x peer.Mux
-	(&Gate{}).Register(&x)
+	o.gate = &Gate{}
+	o.gate.Register(&x)
 	s := &peer.Server{Self: "ip-0a000002", Mux: &x, Log: zap.NewNop(), Known: func(vm.ID) bool { return true }}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -50,6 +54,15 @@
 	return o
 }
 
+// gateBeside returns a gate that knows one other entry VM.
+func gateBeside(o *otherVM) *Gate {
+	k := fleet.NewKnowledge(vm.Presence{VM: "ip-0a000001", FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
+	k.ObserveVM(time.Now(), vm.Presence{VM: "ip-0a000002", FailureDomain: "b", Incarnation: 1, Callers: true}, 0)
+	return &Gate{Knowledge: k, Log: zap.NewNop(), Mesh: &peer.Mesh{
+		Self: "ip-0a000001", Recorder: &report.Recorder{}, Address: func(vm.ID) (string, bool) { return o.listener.Addr().String(), true },
+	}}
+}
+
 // TestCancelWhileAnEntryVMDoesNotReply: a DELETE of a job that no gate holds got 503 for up to 90 s after the process of
 // an entry VM had ended (issue 43). A VM that refuses connections has no process, so it holds no job. One that is silent
 // may hold the job.
@@ -81,11 +94,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			o := newOtherVM(t, c.frozen)
-			k := fleet.NewKnowledge(vm.Presence{VM: "ip-0a000001", FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
-			k.ObserveVM(time.Now(), vm.Presence{VM: "ip-0a000002", FailureDomain: "b", Incarnation: 1, Callers: true}, 0)
-			g := &Gate{Knowledge: k, Log: zap.NewNop(), Mesh: &peer.Mesh{
-				Self: "ip-0a000001", Recorder: &report.Recorder{}, Address: func(vm.ID) (string, bool) { return o.listener.Addr().String(), true },
-			}}
+			g := gateBeside(o)
 			defer g.Mesh.Close()
 			c.before(g, o)
 			if found, err := g.Cancel(t.Context(), "7000"); found || !errors.Is(err, c.want) {
@@ -102,3 +111,94 @@
 	_, err := peer.Call[bool](ctx, g.Mesh, "ip-0a000002", report.UseForward, methodCancel, job.ID("other"))
 	return err
 }
+
+// TestCancelledJobIsNotRunLater: a request that a gate read after the cancel of its job, as it came late (review/7) or the VM was
+// frozen and read the cancel first (review/8), had the job started.
+func TestCancelledJobIsNotRunLater(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		pending bool // while it is canceled
+		cancel  func(g *Gate) error
+	}{
+		{"canceled here", false, func(g *Gate) error { _, err := g.Cancel(t.Context(), "a"); return err }},
+		{"canceled here while it runs", true, func(g *Gate) error { _, err := g.Cancel(t.Context(), "a"); return err }},
+		{"canceled by another VM", false, func(g *Gate) error { g.cancelHere(time.Now(), "a"); return nil }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			begun, end := make(chan struct{}, 1), make(chan struct{})
+			s := &standInLeader{answer: func(int, pool.Request) runReply {
+				begun <- struct{}{}
+				<-end
+				return runReply{Answer: pool.Answer{Outcome: job.Completed}, Answered: true, Admitted: true}
+			}}
+			g := s.serve(t)
+			r := pool.Request{Job: job.Job{ID: "a"}, RemainingWait: 10 * time.Second}
+			first := make(chan pool.Answer, 1)
+			if c.pending {
+				go func() { first <- g.Run(t.Context(), r) }()
+				<-begun
+			}
+			if err := c.cancel(g); err != nil {
+				t.Error(err)
+			}
+			if c.pending {
+				if a := <-first; a.Outcome != job.Cancelled {
+					t.Errorf("the job that was running: %+v", a)
+				}
+			}
+			close(end)
+			if a := g.Run(t.Context(), r); a.Outcome != job.Cancelled || len(begun) > 0 {
+				t.Errorf("the job that came after its cancel: %+v, %d calls to its dispatcher", a, len(begun))
+			}
+			if a := g.Run(t.Context(), pool.Request{Job: job.Job{ID: "b"}, RemainingWait: 10 * time.Second}); a.Outcome != job.Completed {
+				t.Errorf("another job: %+v", a)
+			}
+		})
+	}
+}
+
+// TestCancelReachesOtherGates: the cancel of a job that was pending at the VM that got it was not told to the other VMs, to which
+// a request for the same job may come.
+func TestCancelReachesOtherGates(t *testing.T) {
+	o := newOtherVM(t, false)
+	g := gateBeside(o)
+	defer g.Mesh.Close()
+	ctx, end := context.WithCancelCause(t.Context())
+	defer g.holdCancel(time.Now(), "a", end)()
+	if found, err := g.Cancel(t.Context(), "a"); !found || err != nil || ctx.Err() == nil {
+		t.Errorf("found %v, %v, the job's context ended with %v", found, err, ctx.Err())
+	}
+	for end := time.Now().Add(5 * time.Second); !o.gate.hasCancelled("a"); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the other VM was not told of the cancel")
+		}
+	}
+}
+
+// hasCancelled reports whether a gate remembers the cancel of a job.
+func (g *Gate) hasCancelled(id job.ID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cancelled.has(time.Now(), id)
+}
+
+// TestCancelledJobsAreBounded: canceled jobs are remembered for cancelRetention, and at most maxCancelled of them.
+func TestCancelledJobsAreBounded(t *testing.T) {
+	var c cancelledJobs
+	now := time.Now()
+	id := func(i int) job.ID { return job.ID(strconv.Itoa(i)) }
+	for i := range maxCancelled + 2 {
+		c.add(now, id(i))
+	}
+	c.add(now, id(maxCancelled+1)) // again
+	if len(c.order) != maxCancelled || len(c.cancelledAt) != maxCancelled || c.has(now, id(1)) || !c.has(now, id(2)) {
+		t.Errorf("%d and %d jobs are remembered, want the newest %d", len(c.order), len(c.cancelledAt), maxCancelled)
+	}
+	later := now.Add(cancelRetention)
+	if c.has(later, id(2)) {
+		t.Error("a job is remembered for too long")
+	}
+	if c.add(later, "new"); len(c.order) != 1 || len(c.cancelledAt) != 1 || !c.has(later, "new") {
+		t.Errorf("%d and %d jobs are remembered after cancelRetention", len(c.order), len(c.cancelledAt))
+	}
+}
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -62,6 +62,7 @@
 	givenUpAt    map[job.ID]time.Time // jobs that dispatchers failed on
 	shutdown     shutdown
 	cancels      map[job.ID][]*context.CancelCauseFunc // of the pending jobs
+	cancelled    cancelledJobs
 }
 
 // PendingTotal returns the number of unanswered jobs of all rows on this VM.
@@ -96,7 +97,7 @@
 	startedAt := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer g.holdCancel(r.Job.ID, cancel)()
+	defer g.holdCancel(startedAt, r.Job.ID, cancel)()
 	a := answerCancelled(ctx, g.run(ctx, startedAt, r))
 	a.Job = r.Job.ID
 	g.OnAnswer(r.Row, a.Outcome, time.Since(startedAt))
--- a/tamarackpin/internal/gate/offload_refused_test.go
+++ b/tamarackpin/internal/gate/offload_refused_test.go
@@ -62,6 +62,7 @@
 	self := vm.Presence{VM: "ip-0a000002", FailureDomain: "a", Incarnation: 1, Callers: true}
 	startedAt := time.Now()
 	var x peer.Mux
+	(&Gate{}).Register(&x)
 	peer.Handle(&x, "group.exchange", func(context.Context, vm.ID, map[string]any) (heartbeatReply, error) {
 		reply := heartbeatReply{Self: self, Claims: []lead.Claim{{Fence: 7, VM: self.VM, Incarnation: self.Incarnation}}, ReadsContactAge: s.readsContactAge}
 		if s.readsContactAge {
@@ -94,7 +95,7 @@
 		m.Close()
 		running.Wait()
 	})
-	return &Gate{Group: g, Knowledge: k, Log: zap.NewNop(), OnAnswer: func(routes.RowName, job.Outcome, time.Duration) {}}
+	return &Gate{Group: g, Knowledge: k, Mesh: m, Log: zap.NewNop(), OnAnswer: func(routes.RowName, job.Outcome, time.Duration) {}}
 }
 
 // TestRefusedOffloadIsReportedOnce: a gate told its group that the other one had refused a job, lost the call, and
