gate: a VM that missed a cancel is told of it until it replies

Cause: a refused connection was taken for a process that has ended, and a VM that did not get the cancel was not told again. The 410 stays: a VM that refuses connections cannot be told from one that has ended. Ruled out: 503 instead, for as long as the VM is known (90 s): after the loss of a VM most cancels would go without an acknowledgement. Failed before (with the call of deliverCancel taken out): gate.TestCancelReachesAVMAfterACut.

--- a/tamarackpin/internal/gate/cancel.go
+++ b/tamarackpin/internal/gate/cancel.go
@@ -36,8 +36,11 @@
 
 // Cancel cancels a job wherever it is pending, and reports whether it was found. The gate that holds it
 // withdraws it from its dispatcher, which stops its tasks and starts no others. A request for it that a gate reads later is
-// answered as canceled. An entry VM that refuses connections has no process, and the jobs that its gate held ended with it: callers' connections had to be
-// open. One that is silent may hold the job, or accept it while it is cut off from this VM.
+// answered as canceled.
+//
+// An entry VM that refuses connections has no process, and the jobs that its gate held ended with it: callers' connections had to
+// be open. If it only seems so, as a partition refuses them, the VM is told once it is in contact. One that is silent may hold
+// the job, or accept it while it is cut off from this VM; it is told later as well.
 func (g *Gate) Cancel(ctx context.Context, id job.ID) (found bool, err error) {
 	if g.cancelHere(time.Now(), id) {
 		go func() { _, _ = g.cancelElsewhere(context.WithoutCancel(ctx), id) }() // it may have arrived at others, too; what fails is logged
@@ -56,6 +59,9 @@
 			defer cancel()
 			held, callErr := peer.Call[bool](ctx, g.Mesh, p.VM, report.UseForward, methodCancel, id)
 			unsure := callErr != nil && !g.Mesh.Refuses(ctx, p.VM)
+			if callErr != nil {
+				g.deliverCancel(p.VM, id)
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			found = found || held
--- a/tamarackpin/internal/gate/cancel_test.go
+++ b/tamarackpin/internal/gate/cancel_test.go
@@ -31,11 +31,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := &otherVM{listener: l}
 	if frozen {
 		t.Cleanup(func() { _ = l.Close() })
-		return o
+		return &otherVM{listener: l}
 	}
+	return serveOtherVM(t, l)
+}
+
+// serveOtherVM returns an entry VM whose gate serves the calls that come to l.
+func serveOtherVM(t *testing.T, l net.Listener) *otherVM {
+	o := &otherVM{listener: l}
 	var x peer.Mux
 	o.gate = &Gate{}
 	o.gate.Register(&x)
@@ -175,6 +180,61 @@
 	}
 }
 
+// TestCancelReachesAVMAfterACut: a DELETE was answered as if the job were gone while the VM that held it was cut off with refused
+// connections, and that VM was not told of the cancel after the cut either (review/9).
+func TestCancelReachesAVMAfterACut(t *testing.T) {
+	o := newOtherVM(t, false)
+	g := gateBeside(o)
+	defer g.Mesh.Close()
+	address := o.listener.Addr().String()
+	o.stop()
+	for _, id := range []job.ID{"a", "b", "a"} {
+		if found, err := g.Cancel(t.Context(), id); found || err != nil {
+			t.Fatalf("found %v, %v", found, err)
+		}
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	healed := serveOtherVM(t, l)
+	for end := time.Now().Add(5 * time.Second); !healed.gate.hasCancelled("a") || !healed.gate.hasCancelled("b"); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the other VM was not told of the cancels")
+		}
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		g.mu.Lock()
+		left := len(g.undelivered)
+		g.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the delivery does not end")
+		}
+	}
+}
+
+// TestCancelsOfAForgottenVMAreDropped: cancels are kept for a VM only while it is known and they are remembered.
+func TestCancelsOfAForgottenVMAreDropped(t *testing.T) {
+	k := fleet.NewKnowledge(vm.Presence{VM: "ip-0a000001", FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
+	now := time.Now()
+	k.ObserveVM(now, vm.Presence{VM: "ip-0a000002", FailureDomain: "b", Incarnation: 1, Callers: true}, 0)
+	g := &Gate{Knowledge: k, undelivered: map[vm.ID][]job.ID{"ip-0a000002": {"old", "new"}, "ip-0a000003": {"new"}}}
+	g.cancelled.add(now.Add(-cancelRetention), "old")
+	g.cancelled.add(now.Add(-time.Second), "new")
+	if id, found := g.nextUndelivered(now, "ip-0a000002"); !found || id != "new" {
+		t.Errorf("next for a VM that is known: %q, %v", id, found)
+	}
+	if id, found := g.nextUndelivered(now, "ip-0a000003"); found {
+		t.Errorf("next for a VM that is not known: %q", id)
+	}
+	if len(g.undelivered) != 1 {
+		t.Errorf("kept: %v", g.undelivered)
+	}
+}
+
 // hasCancelled reports whether a gate remembers the cancel of a job.
 func (g *Gate) hasCancelled(id job.ID) bool {
 	g.mu.Lock()
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -16,6 +16,7 @@
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/routes"
+	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/tamarackpin/internal/fleet"
 	"tamarackpin.example/tamarackpin/internal/group"
 	"tamarackpin.example/tamarackpin/internal/peer"
@@ -63,6 +64,7 @@
 	shutdown     shutdown
 	cancels      map[job.ID][]*context.CancelCauseFunc // of the pending jobs
 	cancelled    cancelledJobs
+	undelivered  map[vm.ID][]job.ID // canceled jobs that a VM has not acknowledged; an entry while deliverCancels runs
 }
 
 // PendingTotal returns the number of unanswered jobs of all rows on this VM.
