group: a suspension of the VM is noticed as a pause

What callers would see: after an entry VM was suspended for some seconds, jobs that come to it are not admitted by a dispatcher on another VM, for minutes; a dispatcher that was suspended orders what is queued although it has been replaced. Cause: pauses were told by the steady clock only, which stands still in a suspension (DEPLOY: "The steady clock doesn't count that time; CLOCK_BOOTTIME and the time of day do"). Change: each tick compares the two clocks. Stamps include the suspensions noticed until the time that they tell, so that a caller who was checked before gets an old one. A leader that was suspended for over 0.5 s steps down. Event 110 logs it. Failed before (with the two calls taken out): group.TestSuspendedGateIsHeardAgain (silent for 2.97 s after a suspension of 3 s), TestSuspendedDispatcherStepsDown (1 start). Result: the tests of module tamarackpin pass with the race detector. No machine was suspended: the tests set the time.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -23,6 +23,7 @@
 	ShutdownCutOff    ID = 106
 	Reloaded          ID = 107
 	Fault             ID = 109
+	VMSuspended       ID = 110
 	SettingsRefused   ID = 201
 	FileFault         ID = 202
 	VMAlive           ID = 301
@@ -93,6 +94,7 @@
 	{ShutdownCutOff, zapcore.ErrorLevel, "graceful shutdown cut off work", "The limit shutdown_limit passed with work still running; raise it or look for hanging targets."},
 	{Reloaded, zapcore.InfoLevel, "settings reloaded", "The settings file changed, or SIGHUP asked for it to be read again; the seeds in it are in use."},
 	{Fault, zapcore.ErrorLevel, "fault", "Something failed that should not; the field error tells where. Report it."},
+	{VMSuspended, zapcore.WarnLevel, "VM was suspended", "The VM stood still for `length`, and its steady clock with it. After more than 0.5 s it gives up its leads, as after any pause."},
 	{SettingsRefused, zapcore.ErrorLevel, "settings refused", "Each fault is logged with its path in the file; mend them and start again."},
 	{FileFault, zapcore.ErrorLevel, "file fault", "A file of the data folder could not be read, written or synced. Check the disk."},
 	{VMAlive, zapcore.InfoLevel, "entry VM alive", "Heartbeats of another entry VM arrive."},
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -59,6 +59,9 @@
 	// Call sends an order to its worker and returns the reply, or an empty one if none
 	// came before ctx was done.
 	Call func(ctx context.Context, o pool.Order) pool.Reply
+	// SuspendedTime returns for how long this VM has been suspended since some moment, so that its steady clock stood
+	// still. If it is nil, never.
+	SuspendedTime func() time.Duration
 }
 
 // command runs on the goroutine of [Group.Run].
@@ -78,7 +81,10 @@
 	answerMu    sync.Mutex          // guards lastAnswers
 	lastAnswers map[vm.ID]time.Time // of jobs forwarded to other VMs as leaders
 
-	contacts lastContacts
+	contacts    lastContacts
+	suspensions suspensions
+	// suspendedBefore is Config.SuspendedTime at the start.
+	suspendedBefore time.Duration
 
 	// startedAt is when the process started; workersCompleteAt is the time of the news of workers that were last
 	// fetched from a VM that knows all of them, takeoverAt that of the last takeover, nil if never.
@@ -120,6 +126,7 @@
 		config: c, self: self, startedAt: now, change: make(chan struct{}), ring: ring.New[command](ringSize),
 		groups: []*groupState{newGroupState(lead.New(now, self))}, lastAnswers: make(map[vm.ID]time.Time), lastExchanges: make(map[vm.ID]time.Time),
 	}
+	g.suspendedBefore = g.suspendedTime()
 	g.directory.Store(&directory{leaders: make([]Leader, 1)})
 	g.registerHandlers(x)
 	return g
@@ -209,6 +216,7 @@
 func (g *Group) tick(now time.Time) {
 	late := !g.tickedAt.IsZero() && now.Sub(g.tickedAt) > lead.MaxTickDelay
 	g.tickedAt = now
+	g.noteSuspension(now)
 	if d := g.config.Knowledge.Division(g.self.FailureDomain); d.Epoch > g.division.Epoch {
 		g.applyDivision(now, d) // the one that a control VM has stored
 	}
--- a/tamarackpin/internal/group/last_contact.go
+++ b/tamarackpin/internal/group/last_contact.go
@@ -54,9 +54,10 @@
 	contactLifetime = time.Minute
 )
 
-// stampAt returns the stamp of a message that is made now.
+// stampAt returns the stamp of a message that is made now. A time before a suspension of this VM was noticed gets an old stamp.
 func (g *Group) stampAt(now time.Time) stamp {
-	return stamp{g.self.Incarnation, wire.Duration(now.Sub(g.startedAt).Truncate(time.Millisecond))}
+	age := now.Sub(g.startedAt) + g.suspensions.until(now)
+	return stamp{g.self.Incarnation, wire.Duration(age.Truncate(time.Millisecond))}
 }
 
 // stampedAt returns when this process made a stamp, or the zero time if another one did.
@@ -64,7 +65,7 @@
 	if s.Incarnation != g.self.Incarnation {
 		return time.Time{}
 	}
-	return g.startedAt.Add(s.Age.Std())
+	return g.suspensions.steady(g.startedAt, s.Age.Std())
 }
 
 func (s *lastContacts) update(p process, f func(*lastContact)) {
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -93,7 +93,7 @@
 	if self.Callers {
 		n.group = group.New(now, group.Config{
 			Knowledge: n.Knowledge, Syncer: n.syncer, Mesh: n.mesh, Log: log,
-			LeaseMax: s.LeaseMax.Std(), StopMax: s.StopMax.Std(), Call: a.Order,
+			LeaseMax: s.LeaseMax.Std(), StopMax: s.StopMax.Std(), Call: a.Order, SuspendedTime: suspendedTime,
 		}, &n.mux)
 		n.Gate = &gate.Gate{Group: n.group, Knowledge: n.Knowledge, Log: log, Mesh: n.mesh, OnAnswer: n.metrics.Job, CallerLeft: clientLeft}
 		n.Gate.Register(&n.mux)
