--- a/tamarackpin/internal/gate/cancel.go
+++ b/tamarackpin/internal/gate/cancel.go
@@ -39,8 +39,8 @@
 // answered as canceled.
 //
 // An entry VM that refuses connections has no process, and the jobs that its gate held ended with it: callers' connections had to
-// be open. If it only seems so, as a partition refuses them, the VM is told once it is in contact. One that is silent may hold
-// the job, or accept it while it is cut off from this VM; it is told later as well.
+// be open. One that is silent may hold the job, or accept it while it is cut off from this VM. The cancel is delivered to either
+// once it replies, since a partition may refuse connections as well.
 func (g *Gate) Cancel(ctx context.Context, id job.ID) (found bool, err error) {
 	if g.cancelHere(time.Now(), id) {
 		go func() { _, _ = g.cancelElsewhere(context.WithoutCancel(ctx), id) }() // it may have arrived at others, too; what fails is logged
--- a/tamarackpin/internal/gate/cancel_delivery.go
+++ b/tamarackpin/internal/gate/cancel_delivery.go
@@ -14,11 +14,11 @@
 	"tamarackpin.example/tamarackpin/internal/peer"
 )
 
-// deliveryInterval is the pause before a VM that did not reply is told again of a cancel.
+// deliveryInterval is the pause before a cancel is sent again to a VM that did not reply.
 const deliveryInterval = 250 * time.Millisecond
 
-// deliverCancel tells a VM of a canceled job in the background, until it replies: it may hold the job though it did not reply, or
-// refused the connection because it is cut off.
+// deliverCancel sends the cancel of a job to a VM in the background until it replies: it may hold the job though it did not reply,
+// or refused the connection because it is cut off.
 func (g *Gate) deliverCancel(to vm.ID, id job.ID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -35,8 +35,8 @@
 	}
 }
 
-// deliverCancels tells a VM of the canceled jobs that it has not acknowledged, one after the other, until there are none left or
-// the process ends.
+// deliverCancels sends a VM the cancels that it has not acknowledged, one after the other, until there are none left or the
+// process ends.
 func (g *Gate) deliverCancels(to vm.ID) {
 	aborted, _ := g.shutdownState()
 	for {
@@ -61,8 +61,8 @@
 	}
 }
 
-// nextUndelivered returns a canceled job that a VM has not acknowledged. It drops those that are not remembered any more, and all if
-// the VM is not known any more; if none is left the delivery ends.
+// nextUndelivered returns a canceled job that a VM has not acknowledged. It drops those beyond cancelRetention, and
+// all if the VM is not known any more. If none is left, the delivery ends.
 func (g *Gate) nextUndelivered(now time.Time, to vm.ID) (id job.ID, found bool) {
 	known := len(g.Knowledge.VMs(func(p vm.Present) bool { return p.VM == to })) > 0
 	g.mu.Lock()
@@ -76,7 +76,7 @@
 	return list[0], true
 }
 
-// acknowledgeCancel records that a VM knows of a canceled job.
+// acknowledgeCancel records that a VM has acknowledged a cancel.
 func (g *Gate) acknowledgeCancel(to vm.ID, id job.ID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -50,8 +50,8 @@
 	OnAnswer  func(routes.RowName, job.Outcome, time.Duration) // called with each answer and the time it took
 	Log       *zap.Logger
 	Mesh      *peer.Mesh // to cancel jobs that other entry VMs hold
-	// CallerLeft reports whether the caller of a job has closed its connection, though the context of Run, from which ctx
-	// is derived, may not have ended yet: a process that was paused reads a submission before the end of its connection.
+	// CallerLeft reports whether the caller of a job has closed its connection, by the context of Run or one derived from
+	// it. The context itself ends later: a process that was paused reads a submission before the end of its connection.
 	// If it is nil, only the context is considered.
 	CallerLeft func(ctx context.Context) bool
 
@@ -64,7 +64,7 @@
 	shutdown     shutdown
 	cancels      map[job.ID][]*context.CancelCauseFunc // of the pending jobs
 	cancelled    cancelledJobs
-	undelivered  map[vm.ID][]job.ID // canceled jobs that a VM has not acknowledged; an entry while deliverCancels runs
+	undelivered  map[vm.ID][]job.ID // cancels that a VM has not acknowledged; has an entry while deliverCancels runs for the VM
 }
 
 // PendingTotal returns the number of unanswered jobs of all rows on this VM.
@@ -134,7 +134,7 @@
 		return gateAnswer(r, "the caller left or its time is over")
 	}
 	for {
-		now := time.Now() // before the caller is checked, so that a pause in between counts
+		now := time.Now() // before the check, so that a pause in between shows in the stamp of the forward
 		if g.callerLeft(ctx) {
 			return unserved()
 		}
@@ -189,11 +189,6 @@
 	}
 }
 
-// callerLeft reports whether the caller of a job has left, or the job has ended otherwise. ctx is that of the job.
-func (g *Gate) callerLeft(ctx context.Context) bool {
-	return ctx.Err() != nil || g.CallerLeft != nil && g.CallerLeft(ctx)
-}
-
 // isGivenUp reports whether dispatchers failed on a job within givenUpRetention.
 func (g *Gate) isGivenUp(now time.Time, id job.ID) bool {
 	g.mu.Lock()
@@ -221,7 +216,7 @@
 // offload forwards a job, returned by its own group with TryElsewhere, to the group in spare, or to that of
 // earlier, which may be running it since an earlier try, unless that is zero. ok is false if that group did not run the job and will not.
 // If its fate is unknown, offload returns a final answer, as running it in its own group could run it
-// twice. The caller was there at now.
+// twice. now is when the caller was last known to be connected.
 func (g *Gate) offload(ctx context.Context, now time.Time, earlier pool.Destination, spare pool.Report, r pool.Request) (a pool.Answer, ok bool) {
 	mayRunThere := earlier != pool.Destination{}
 	if mayRunThere {
@@ -241,8 +236,8 @@
 	return pool.Answer{}, false
 }
 
-// forward sends the job, whose caller was there at now, to the leader and waits for the answer, at most until another
-// claim supersedes the leader's. When [Gate.ReleaseWaiting] is called, the leader is asked to answer the
+// forward sends the job to the leader and waits for the answer, at most until another claim supersedes the leader's. now is
+// when the caller was last known to be connected. When [Gate.ReleaseWaiting] is called, the leader is asked to answer the
 // job unless it has started.
 func (g *Gate) forward(ctx context.Context, now time.Time, leader group.Leader, changed <-chan struct{}, deadline time.Time, r pool.Request) group.ForwardResult {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -37,16 +37,16 @@
 const supersededTimeout = 100 * time.Millisecond
 
 const (
-	// withdrawTimeout bounds the attempts to withdraw a job. Long before, its dispatcher has withdrawn all jobs of this gate,
-	// as no message of it has shown contact since (pool.MaxGateSilence).
+	// withdrawTimeout bounds the attempts to withdraw a job. By then its dispatcher has withdrawn all jobs of this gate, since
+	// the gate has shown no contact for more than pool.MaxGateSilence.
 	withdrawTimeout = 3 * time.Second
 	// withdrawRetryInterval is the pause before the next attempt, once the connection of the last one has failed.
 	withdrawRetryInterval = 50 * time.Millisecond
 )
 
-// Forward sends a job, whose caller was there at now, to a leader and waits for its answer. The leader does not admit the
-// job if it arrives long after now. When ctx is done before the answer, the job is withdrawn. number must be unique among the
-// calls of this process.
+// Forward sends a job to a leader and waits for its answer. now is when the caller was last known to be connected; the leader
+// does not admit a job that arrives pool.MaxGateSilence or more after that. When ctx is done before the answer, the job is
+// withdrawn. number must be unique among the calls of this process.
 func (g *Group) Forward(ctx context.Context, now time.Time, to Leader, number uint64, r pool.Request) ForwardResult {
 	startedAt := time.Now()
 	result := g.forward(ctx, now, to, number, r)
--- a/tamarackpin/internal/group/offload.go
+++ b/tamarackpin/internal/group/offload.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// Offload forwards a job, whose caller was there at now, to the dispatcher of another group. It withdraws the job once
-// that VM has been silent for silenceTimeout.
+// Offload forwards a job to the dispatcher of another group, as Forward does. It withdraws the job once that VM has been
+// silent for silenceTimeout.
 func (g *Group) Offload(ctx context.Context, now time.Time, to pool.Report, number uint64, r pool.Request) ForwardResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/tamarackpin/internal/group/suspensions.go
+++ b/tamarackpin/internal/group/suspensions.go
@@ -74,8 +74,8 @@
 	return g.config.SuspendedTime()
 }
 
-// noteSuspension steps down if this VM was suspended for longer than a leader may be paused: it may have been replaced. Messages that
-// were made, and callers that were checked, before this are not taken for newer than the suspension.
+// noteSuspension steps down if this VM was suspended for longer than a leader may be paused: it may have been replaced. Stamps of times
+// before now do not include the suspension, so that they are as old as the messages and checks that they stand for.
 func (g *Group) noteSuspension(now time.Time) {
 	d := g.suspensions.note(now, g.suspendedTime()-g.suspendedBefore)
 	if d == 0 {
--- a/tamarackpin/internal/group/suspensions_test.go
+++ b/tamarackpin/internal/group/suspensions_test.go
@@ -36,7 +36,7 @@
 	}
 	gate.noteSuspension(wokeAt.Add(20 * time.Millisecond))
 	if s := silence(checkedAt); s < pool.MaxGateSilence {
-		t.Errorf("a caller that was checked before the suspension counts as of %s ago", s)
+		t.Errorf("the check of a caller before the suspension seems to be %s old", s)
 	}
 	now := wokeAt.Add(100 * time.Millisecond)
 	if s := silence(now); s > 100*time.Millisecond {
