group: looks for a suspension cost a third of the system calls

Each tick of each entry VM made two system calls for the two clocks. Ruled out: nothing else yet; the look at each caller's socket and the acknowledgements of withdrawals are needed.

--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -108,9 +108,11 @@
 	groups           []*groupState // by group of the division
 	tickedAt         time.Time
 	workersUpdatedAt time.Time // when the pools last received the workers
-	earlyWithdrawals withdrawals
-	crashes          crash.Log     // of the tasks of all groups
-	lateStarts       latestart.Log // of the tasks of all groups
+	// suspensionCheckedAt is when the tick last looked for a suspension of the VM.
+	suspensionCheckedAt time.Time
+	earlyWithdrawals    withdrawals
+	crashes             crash.Log     // of the tasks of all groups
+	lateStarts          latestart.Log // of the tasks of all groups
 	// When the late starts were last sent to the own and to the other failure domains.
 	lateStartsSentAt, lateStartsReportedAt time.Time
 	incarnations                           map[vm.ID]vm.Incarnation // of the VMs whose heartbeats arrived
@@ -216,7 +218,10 @@
 func (g *Group) tick(now time.Time) {
 	late := !g.tickedAt.IsZero() && now.Sub(g.tickedAt) > lead.MaxTickDelay
 	g.tickedAt = now
-	g.noteSuspension(now)
+	if now.Sub(g.suspensionCheckedAt) >= suspensionCheckInterval {
+		g.suspensionCheckedAt = now
+		g.noteSuspension(now)
+	}
 	if d := g.config.Knowledge.Division(g.self.FailureDomain); d.Epoch > g.division.Epoch {
 		g.applyDivision(now, d) // the one that a control VM has stored
 	}
--- a/tamarackpin/internal/group/suspensions.go
+++ b/tamarackpin/internal/group/suspensions.go
@@ -23,8 +23,12 @@
 	total     time.Duration // of all suspensions until then
 }
 
-// minSuspension is the shortest suspension that is recorded: the clocks are not read at the same moment.
-const minSuspension = 50 * time.Millisecond
+const (
+	// minSuspension is the shortest suspension that is recorded: the clocks are not read at the same moment.
+	minSuspension = 50 * time.Millisecond
+	// suspensionCheckInterval is the least time between two looks for a suspension, each of which is a system call.
+	suspensionCheckInterval = 50 * time.Millisecond
+)
 
 // note records that the VM was suspended for a total time since its start, and returns how much of it is new.
 func (s *suspensions) note(now time.Time, total time.Duration) time.Duration {
--- a/tamarackpin/internal/node/suspended_time.go
+++ b/tamarackpin/internal/node/suspended_time.go
@@ -6,12 +6,15 @@
 	"golang.org/x/sys/unix"
 )
 
-// suspendedTime returns for how long this machine has been suspended since it was started, by the two clocks that differ in that.
-// It is 0 where they can't be read.
+// steadyOrigin is a reading of the steady clock.
+var steadyOrigin = time.Now()
+
+// suspendedTime returns for how long this machine has been suspended since some moment: the difference of the clock that counts
+// suspensions and the one that does not. It is 0 where the former can't be read.
 func suspendedTime() time.Duration {
-	var steady, boot unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
+	var boot unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
 		return 0
 	}
-	return time.Duration(boot.Nano() - steady.Nano())
+	return time.Duration(boot.Nano()) - time.Since(steadyOrigin)
 }
