group: contact stops only once a withdrawal is overdue or an attempt has failed

Cause: from the withdrawal of a job to its acknowledgement a gate showed its dispatcher no contact. Change: contact stops at the time of the withdrawal once an attempt has failed, or it has not been acknowledged for exchangeTimeout (0.25 s), as it does for a VM that answers nothing.

--- a/tamarackpin/internal/group/forward.go
+++ b/tamarackpin/internal/group/forward.go
@@ -149,8 +149,8 @@
 	}
 }
 
-// startWithdrawal withdraws a job from a leader in the background. Until the leader has acknowledged that, calls to its VM show no
-// contact after the present time: by a newer one it would extend the leases of the job, whose caller may submit it again.
+// startWithdrawal withdraws a job from a leader in the background. If the leader does not acknowledge that soon, messages to its VM
+// show no contact after the present time: by a newer one it would extend the leases of the job, whose caller may submit it again.
 func (g *Group) startWithdrawal(ctx context.Context, leader vm.ID, w withdrawal) {
 	now := time.Now()
 	g.contacts.hold(leader, w.Ticket.Number, now)
@@ -166,6 +166,7 @@
 			_, err := peer.Call[struct{}](ctx, g.config.Mesh, leader, report.UseForward, methodWithdraw, w)
 			if acknowledged = err == nil; !acknowledged {
 				failure = err
+				g.contacts.fail(leader, w.Ticket.Number, now)
 			}
 		}
 		if failure != nil {
--- a/tamarackpin/internal/group/last_contact.go
+++ b/tamarackpin/internal/group/last_contact.go
@@ -20,8 +20,7 @@
 	processes map[process]lastContact
 	newest    map[vm.ID]stamp // of the newest message of each VM
 	shown     map[vm.ID]shownContact
-	// held has, by the number of its ticket, when each withdrawal from a VM began that is not acknowledged yet.
-	held map[vm.ID]map[uint64]time.Time
+	held      map[vm.ID]map[uint64]heldWithdrawal // by the number of the ticket
 }
 
 // process is one process of a VM.
--- a/tamarackpin/internal/group/shown_contact.go
+++ b/tamarackpin/internal/group/shown_contact.go
@@ -56,18 +56,18 @@
 	switch limit := c.unansweredSince.Add(exchangeTimeout); {
 	case c.unansweredSince.IsZero() || now.Sub(c.calledAt) > maxCallGap:
 		c.unansweredSince = now
-		c.extend(s.capHeld(to, now))
+		c.extend(s.capHeld(to, now, now))
 	case !connected:
 	case now.Before(limit):
-		c.extend(s.capHeld(to, now))
+		c.extend(s.capHeld(to, now, now))
 	default:
-		c.extend(s.capHeld(to, limit))
+		c.extend(s.capHeld(to, now, limit))
 	}
 	if now.After(c.calledAt) {
 		c.calledAt = now
 	}
 	s.setShown(to, c)
-	return c.until
+	return s.capHeld(to, now, c.until)
 }
 
 // showReply returns the time for the stamp of a reply to a VM that was just heard, and records it: the present one, unless a
@@ -76,23 +76,45 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := shownContact{until: s.shown[to].until}
-	at := s.capHeld(to, now)
+	at := s.capHeld(to, now, now)
 	c.extend(at)
 	s.setShown(to, c)
 	return at
 }
 
-// hold has the stamps for a VM stand still until release is called with the same number.
+// heldWithdrawal is a withdrawal from a VM that is not acknowledged yet.
+type heldWithdrawal struct {
+	startedAt time.Time
+	failed    bool // an attempt has failed
+}
+
+// stopsStamps reports whether the stamps for the VM stand still. A VM that is only behind acknowledges within exchangeTimeout, and
+// keeps its leases. If contact is shown meanwhile and the withdrawal is lost after all, leases end by as much later.
+func (w heldWithdrawal) stopsStamps(now time.Time) bool {
+	return w.failed || now.Sub(w.startedAt) >= exchangeTimeout
+}
+
+// hold has the stamps for a VM stand still at the present time, from when stopsStamps is true until release is called with the same
+// number.
 func (s *lastContacts) hold(to vm.ID, number uint64, now time.Time) {
+	s.setHeld(to, number, heldWithdrawal{startedAt: now})
+}
+
+// fail records that an attempt to withdraw has failed.
+func (s *lastContacts) fail(to vm.ID, number uint64, startedAt time.Time) {
+	s.setHeld(to, number, heldWithdrawal{startedAt, true})
+}
+
+func (s *lastContacts) setHeld(to vm.ID, number uint64, w heldWithdrawal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.held == nil {
-		s.held = make(map[vm.ID]map[uint64]time.Time)
+		s.held = make(map[vm.ID]map[uint64]heldWithdrawal)
 	}
 	if s.held[to] == nil {
-		s.held[to] = make(map[uint64]time.Time)
+		s.held[to] = make(map[uint64]heldWithdrawal)
 	}
-	s.held[to][number] = now
+	s.held[to][number] = w
 }
 
 // release ends hold.
@@ -105,10 +127,10 @@
 }
 
 // capHeld returns t, or the time at which the stamps for a VM stand still if that is earlier. s.mu is held.
-func (s *lastContacts) capHeld(to vm.ID, t time.Time) time.Time {
-	for _, at := range s.held[to] {
-		if at.Before(t) {
-			t = at
+func (s *lastContacts) capHeld(to vm.ID, now, t time.Time) time.Time {
+	for _, w := range s.held[to] {
+		if w.stopsStamps(now) && w.startedAt.Before(t) {
+			t = w.startedAt
 		}
 	}
 	return t
