lead: fewer groups only long after workers are lost, and in calm

Cause: a failure domain with under 20 workers per group for 2 s was divided into fewer groups.

Change: lead.Divider decides on a DivisionInput. The number of groups grows as before; it shrinks only after 60 s with too few workers and all VMs and a control VM in contact, and once each group reports a free slot for each worker.

Also the types of evacuated failure domains (internal/evacuation), which the parts of that feature share.

--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"tamarackpin.example/internal/evacuation"
 	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
@@ -41,6 +42,7 @@
 	reports  map[groupKey]receivedReport
 	// divisions is that of this VM's failure domain; on a control VM, those of all.
 	divisions       divisions
+	evacuations     evacuation.Set
 	changed         chan struct{} // closed and replaced at each change
 	refused         int           // number of announcements refused since refusedLoggedAt
 	refusedLoggedAt time.Time
@@ -293,6 +295,37 @@
 	return n
 }
 
+// DomainIsCalm reports whether each group of this VM's failure domain has reported lately, under
+// this division, at least one free slot for each of its workers.
+func (k *Knowledge) DomainIsCalm(now time.Time, d lead.Division) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	workers := make([]int, d.GroupCount())
+	for r := range k.registry.All {
+		if r.FailureDomain == k.self.FailureDomain && r.Usable(now) {
+			workers[d.GroupOf(string(r.Worker))]++
+		}
+	}
+	free := make(map[lead.Group]int)
+	for key, r := range k.reports {
+		if key.domain == k.self.FailureDomain && r.Epoch == d.Epoch && now.Sub(r.madeAt) < reportMaxAge {
+			free[key.group] = r.FreeSlots
+		}
+	}
+	for _, r := range k.own {
+		if r.Epoch == d.Epoch {
+			free[r.Group] = r.FreeSlots
+		}
+	}
+	for g, n := range workers {
+		slots, reported := free[lead.Group(g)]
+		if !reported || slots < n {
+			return false
+		}
+	}
+	return true
+}
+
 // Prune drops VMs and workers whose last contact is long past; package vm and
 // package worker set the limits.
 func (k *Knowledge) Prune(now time.Time) {
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -103,9 +103,14 @@
 		g.divider = lead.Divider{}
 		return
 	}
-	workers := g.config.Knowledge.CountWorkers(now, g.self.FailureDomain)
-	groups, change := g.divider.Tick(now, g.division, workers, 1+len(first.LivePeers(now)))
-	if change && first.AllPeersAvailable(now) {
+	in := lead.DivisionInput{
+		Workers: g.config.Knowledge.CountWorkers(now, g.self.FailureDomain), VMs: 1 + len(first.LivePeers(now)),
+		Reachable:    first.AllPeersAvailable(now),
+		WorkersKnown: now.Sub(g.config.Syncer.LastContact()) <= maxWorkerNewsAge,
+		Calm:         g.config.Knowledge.DomainIsCalm(now, g.division),
+	}
+	groups, change := g.divider.Tick(now, g.division, in)
+	if change {
 		g.applyDivision(now, lead.Division{Epoch: g.nextEpoch(now), Groups: groups})
 	}
 }
