lead: a group is led by the VM with the most processor for it

Cause: groups went to the VM that leads the fewest, so with two or three VMs of 0.48 of a core and four groups, VMs of 0.144 led one each.

Change: the order of succession is the processor for each group that a VM would lead, then the fewest groups. VMs of about the same strength still lead one each.

--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -274,8 +274,6 @@
 }
 
 // isNextLeader reports whether this process is the candidate that should claim.
-// Groups without a leader are assigned to the candidates in the order of
-// compareCandidates, one to each.
 func (l *Leadership) isNextLeader(now time.Time, o OtherGroups) bool {
 	candidates := []vm.Presence{l.self}
 	for _, p := range l.LivePeers(now) {
@@ -284,13 +282,28 @@
 	if remaining := slices.DeleteFunc(slices.Clone(candidates), func(p vm.Presence) bool { return p.Draining }); len(remaining) > 0 {
 		candidates = remaining
 	}
-	slices.SortFunc(candidates, func(a, b vm.Presence) int { return o.compareCandidates(a, b) })
-	return candidates[o.LeaderlessBefore%len(candidates)].VM == l.self.VM
+	return o.nextLeader(candidates) == l.self.VM
 }
 
-// compareCandidates is the order of succession: the VM that leads the fewest
-// groups first, then the one with the most processor, the resource that a
-// dispatcher needs most, then the lowest id.
-func (o OtherGroups) compareCandidates(a, b vm.Presence) int {
-	return cmp.Or(cmp.Compare(o.GroupsLed[a.VM], o.GroupsLed[b.VM]), cmp.Compare(b.Processor, a.Processor), cmp.Compare(a.VM, b.VM))
+// nextLeader returns the candidate that should lead this group. The leaderless groups before it
+// are assigned first, each to the best candidate given those before: a group goes to the VM
+// that has the most processor for it, the resource that a dispatcher needs most. So a strong VM
+// may lead two groups before a weak one leads any, which would be late with all its jobs.
+func (o OtherGroups) nextLeader(candidates []vm.Presence) vm.ID {
+	led := make(map[vm.ID]int, len(candidates))
+	for _, c := range candidates {
+		led[c.VM] = o.GroupsLed[c.VM]
+	}
+	var best vm.Presence
+	for range o.LeaderlessBefore + 1 {
+		best = slices.MinFunc(candidates, func(a, b vm.Presence) int { return compareCandidates(a, led[a.VM], b, led[b.VM]) })
+		led[best.VM]++
+	}
+	return best.VM
+}
+
+// compareCandidates is the order of succession: the VM with the most processor for each of its
+// groups, if it leads one more than now; then the one that leads the fewest, and the lowest id.
+func compareCandidates(a vm.Presence, ledByA int, b vm.Presence, ledByB int) int {
+	return cmp.Or(cmp.Compare(int(b.Processor)*(ledByA+1), int(a.Processor)*(ledByB+1)), cmp.Compare(ledByA, ledByB), cmp.Compare(a.VM, b.VM))
 }
