lead: groups that one VM takes over at one tick have fences of their own

Cause: a fence is the time in units of 100 ms and a hash of the VM, above the highest fence of the group. Two groups that one VM claimed within 100 ms got the same one. group.sendOrder matches replies to pools by the fence, so the second pool got none: its workers never listed their runs, and every job of the group was refused with "the caller leaves before the job could end", or waited until then.

Change: a claim exceeds the fences of all groups.

--- a/internal/lead/leadership.go
+++ b/internal/lead/leadership.go
@@ -168,6 +168,9 @@
 // place, and it leads until one of them does.
 func (l *Leadership) Drain() { l.self.Draining = true }
 
+// HighestFence returns the highest fence known, including refused ones.
+func (l *Leadership) HighestFence() Fence { return l.highestFence }
+
 // Claim returns the newest claim known.
 func (l *Leadership) Claim() Claim { return l.claim }
 
@@ -206,6 +209,9 @@
 type OtherGroups struct {
 	GroupsLed        map[vm.ID]int // number of groups that each VM leads
 	LeaderlessBefore int           // number of groups with a lower index that need a leader
+	// HighestFence is the highest fence known in any group. A claim exceeds it: orders of two
+	// groups that one VM leads are told apart by their fences.
+	HighestFence Fence
 }
 
 // Tick decides whether this process claims leadership now, and returns its claim
@@ -243,7 +249,7 @@
 	if leader, alive := l.Leader(now); alive && l.peers[leader].Draining {
 		l.predecessor = l.claim
 	}
-	l.claim = Claim{Fence: nextFence(now, string(l.self.VM), l.highestFence), VM: l.self.VM, Incarnation: l.self.Incarnation}
+	l.claim = Claim{Fence: nextFence(now, string(l.self.VM), max(l.highestFence, o.HighestFence)), VM: l.self.VM, Incarnation: l.self.Incarnation}
 	l.highestFence = l.claim.Fence
 	return l.claim, true
 }
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -24,11 +24,13 @@
 		if leader, led := s.leadership.Leader(now); led {
 			others.GroupsLed[leader]++
 		}
+		others.HighestFence = max(others.HighestFence, s.leadership.HighestFence())
 	}
 	for i, s := range g.groups {
 		leaderless := s.leadership.NeedsLeader(now)
 		first := s.leadership.NoEarlierLeader()
 		if claim, claimed := s.leadership.Tick(now, controlReplyAt, others); claimed {
+			others.HighestFence = claim.Fence
 			g.takeoverAt.Store(&now)
 			g.config.Syncer.SyncNow()
 			incomplete := g.workersIncomplete(now)
--- a/tamarackpin/internal/group/division_test.go
+++ b/tamarackpin/internal/group/division_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -98,3 +99,29 @@
 		}
 	}
 }
+
+// TestGroupsOfOneVMHaveFencesOfTheirOwn guards against two groups that one VM takes over at one tick with the same
+// fence: replies are matched to pools by the fence, so the second group got none, had no workers and refused all jobs.
+func TestGroupsOfOneVMHaveFencesOfTheirOwn(t *testing.T) {
+	g, _ := newLeadingGroup(t)
+	now := time.Now()
+	g.applyDivision(now, lead.Division{Epoch: g.nextEpoch(now), Groups: 3})
+	for at := now; at.Before(now.Add(time.Minute)) && !g.leadsAll(); at = at.Add(followerTickInterval) {
+		g.tickLeaderships(at)
+	}
+	fences := make(map[lead.Fence]bool)
+	for i, s := range g.groups {
+		if s.pool == nil {
+			t.Fatalf("group %d has no dispatcher", i)
+		}
+		fences[s.leadership.Claim().Fence] = true
+	}
+	if len(fences) != len(g.groups) {
+		t.Errorf("%d fences for %d groups, want one each", len(fences), len(g.groups))
+	}
+}
+
+// leadsAll reports whether g leads all groups.
+func (g *Group) leadsAll() bool {
+	return !slices.ContainsFunc(g.groups, func(s *groupState) bool { return s.pool == nil })
+}
