offload: weighted random choice of the group, and up to three of them

Cause: every gate picked the group with the most free slots in a report that is up to 1.5 s old, and tried no other.

Change: package internal/offload has the choice as a plain type (Balancer): at random, with the estimated remaining capacity as the weight, which is that of the last report less what this gate has sent since, times the entry VMs of its failure domain. A group that returned a job gets none from this gate before its next report. A job is offered to three other groups at most, each time through its home group, which decides by the objective and remembers the group, as before. A gate whose job was returned because another gate waits for it too offloads nothing itself. Knowledge.SelectSpareGroup became SpareGroups, which lists the candidates; TestSpareGroup checks the same on the list.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -53,6 +53,15 @@
 	Steps []Step `json:"steps"`
 }
 
+// TaskCount returns the number of tasks of all steps.
+func (j Job) TaskCount() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Count
+	}
+	return n
+}
+
 // Check returns an error for a job that cannot be run.
 func (j Job) Check() error {
 	if j.ID == "" {
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -7,7 +7,9 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,7 @@
 	"tamarackpin.example/internal/evacuation"
 	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/lead"
+	"tamarackpin.example/internal/offload"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
@@ -235,6 +238,13 @@
 	return k.own
 }
 
+// RecordReport records a Report of a group that this VM does not lead, made at madeAt.
+func (k *Knowledge) RecordReport(madeAt time.Time, r pool.Report) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.recordReport(madeAt, r)
+}
+
 // recordReport records a Report unless one under a higher fence, or one as late
 // under the same fence, is known. k.mu is held.
 func (k *Knowledge) recordReport(madeAt time.Time, r pool.Report) {
@@ -249,24 +259,37 @@
 	k.reports[key] = receivedReport{r, madeAt}
 }
 
-// SelectSpareGroup returns the last report of the group to which jobs of this
-// failure domain's group own may be offloaded: the one with the most free slots
-// in this failure domain, or else elsewhere. It returns false if there is none.
-func (k *Knowledge) SelectSpareGroup(now time.Time, own lead.Group) (pool.Report, bool) {
+// SpareGroups returns the groups to which jobs of this failure domain's group own may be offloaded,
+// sorted, with their last reports.
+func (k *Knowledge) SpareGroups(now time.Time, own lead.Group) []offload.Candidate {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var best pool.Report
-	bestIsLocal := false
+	var list []offload.Candidate
 	for key, r := range k.reports {
 		isLocal := key.domain == k.self.FailureDomain
 		if isLocal && (key.group == own || r.Epoch == 0) || now.Sub(r.madeAt) >= reportMaxAge || !r.AcceptsOffload() {
 			continue
 		}
-		if isLocal && !bestIsLocal || isLocal == bestIsLocal && r.FreeSlots > best.FreeSlots {
-			best, bestIsLocal = r.Report, isLocal
+		list = append(list, offload.Candidate{Report: r.Report, MadeAt: r.madeAt, Local: isLocal})
+	}
+	slices.SortFunc(list, func(a, b offload.Candidate) int {
+		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Group, b.Group))
+	})
+	return list
+}
+
+// CountGates returns the number of entry VMs of this VM's failure domain that accept callers' jobs, as far as is
+// known, at least 1: this one.
+func (k *Knowledge) CountGates() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := 1
+	for p := range k.roster.All {
+		if p.Callers && !p.Draining && p.FailureDomain == k.self.FailureDomain {
+			n++
 		}
 	}
-	return best, best.VM != ""
+	return n
 }
 
 // ReportOf returns the last report of a group, or one that only names it if there is none that may be
--- a/tamarackpin/internal/fleet/knowledge_test.go
+++ b/tamarackpin/internal/fleet/knowledge_test.go
@@ -79,15 +79,15 @@
 	} {
 		k.recordReport(now, r)
 	}
-	if r, ok := k.SelectSpareGroup(now.Add(time.Second), 0); !ok || r.FailureDomain != "b" {
-		t.Errorf("selected %+v, %v; want the group of failure domain b", r, ok)
+	if list := k.SpareGroups(now.Add(time.Second), 0); len(list) != 1 || list[0].FailureDomain != "b" || list[0].Local || !list[0].MadeAt.Equal(now) {
+		t.Errorf("spare groups %+v; want that of failure domain b", list)
 	}
 	k.recordReport(now.Add(time.Second), pool.Report{FailureDomain: "b", VM: "ip-04", Fence: 0, FreeSlots: 30})
-	if r, _ := k.SelectSpareGroup(now.Add(time.Second), 0); r.VM != "ip-02" {
-		t.Errorf("a report under an older fence was used: %+v", r)
+	if list := k.SpareGroups(now.Add(time.Second), 0); len(list) != 1 || list[0].VM != "ip-02" {
+		t.Errorf("a report under an older fence was used: %+v", list)
 	}
-	if r, ok := k.SelectSpareGroup(now.Add(2*time.Second), 0); ok {
-		t.Errorf("an outdated report was used: %+v", r)
+	if list := k.SpareGroups(now.Add(2*time.Second), 0); len(list) != 0 {
+		t.Errorf("an outdated report was used: %+v", list)
 	}
 }
 
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -14,6 +14,7 @@
 
 	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/job"
+	"tamarackpin.example/internal/offload"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
@@ -57,6 +58,8 @@
 	// HoldCaller counts a pending job of the caller with the context of Run, until the function that it returns is called. It may
 	// be nil.
 	HoldCaller func(ctx context.Context) (end func())
+	// Random returns a uniform number in [0, 1), for the choice of groups to offload to. If it is nil, [rand.Float64] is used.
+	Random func() float64
 
 	pending  atomic.Int64
 	lastCall atomic.Uint64
@@ -67,6 +70,7 @@
 	shutdown     shutdown
 	cancels      map[job.ID][]*context.CancelCauseFunc // of the pending jobs
 	cancelled    cancelledJobs
+	balancer     offload.Balancer
 	undelivered  map[vm.ID][]job.ID // cancels that a VM has not acknowledged; has an entry while deliverCancels runs for the VM
 }
 
@@ -130,7 +134,7 @@
 	}
 	age := r.Age
 	noLeaderSince := time.Time{}
-	offloadTried := false
+	var tried []pool.Destination // that have not run the job
 	failures := 0
 	var earlier []group.Leader // that may have started the job
 	unserved := func() pool.Answer {
@@ -156,8 +160,8 @@
 			continue
 		}
 		noLeaderSince = time.Time{}
-		spare, hasSpare := g.Knowledge.SelectSpareGroup(now, leader.Group)
-		r.CanOffload, r.OffloadTo = hasSpare && !offloadTried && !r.MayBeRunning, spare.Destination()
+		spare, hasSpare := g.chooseGroup(now, leader.Group, r, tried)
+		r.CanOffload, r.OffloadTo = hasSpare && !r.MayBeRunning, spare.Destination()
 		if r.MayBeRunning {
 			r.EarlierContactAge = g.Group.ContactAge(now, earlier, leader)
 		}
@@ -166,14 +170,22 @@
 			return result.Answer
 		}
 		if result.Answered {
-			offloadTried = true
 			now = time.Now()
 			if g.callerLeft(ctx) {
 				return unserved()
 			}
+			if earlierTry := result.Answer.OffloadTo; earlierTry != (pool.Destination{}) {
+				spare = g.Knowledge.ReportOf(now, earlierTry)
+			} else if !r.CanOffload { // another gate waits for the job, and offloads it
+				if !wait(ctx, nil, retryInterval) {
+					return unserved()
+				}
+				continue
+			}
 			if a, ok := g.offload(ctx, now, result.Answer.OffloadTo, spare, r); ok {
 				return a
 			}
+			tried = append(tried, spare.Destination())
 			r.OffloadRefused = true
 			continue
 		}
@@ -219,29 +231,6 @@
 	}
 }
 
-// offload forwards a job, returned by its own group with TryElsewhere, to the group in spare, or to that of
-// earlier, which may be running it since an earlier try, unless that is zero. ok is false if that group did not run the job and will not.
-// If its fate is unknown, offload returns a final answer, as running it in its own group could run it
-// twice. now is when the caller was last known to be connected.
-func (g *Gate) offload(ctx context.Context, now time.Time, earlier pool.Destination, spare pool.Report, r pool.Request) (a pool.Answer, ok bool) {
-	mayRunThere := earlier != pool.Destination{}
-	if mayRunThere {
-		spare = g.Knowledge.ReportOf(now, earlier)
-	}
-	r.CanOffload, r.Offloaded, r.EarlierContactAge = false, true, 0 // that VM may be of a build that refuses the field
-	result := g.Group.Offload(ctx, now, spare, g.lastCall.Add(1), r)
-	event.Log(g.Log, event.JobSpilled, zap.String("job", string(r.Job.ID)), zap.String("failure_domain", string(spare.FailureDomain)), zap.Int("group", int(spare.Group)),
-		zap.Int("free_places", spare.FreeSlots), zap.Bool("again", mayRunThere), zap.Bool("answered", result.Answered), zap.String("outcome", string(result.Answer.Outcome)))
-	switch {
-	case result.Answered && !result.Answer.TryElsewhere:
-		return result.Answer, true
-	case (result.MayBeRunning || mayRunThere) && !result.Answered:
-		r.MayBeRunning = true
-		return gateAnswer(r, "the group that took the job cannot be heard any more"), true
-	}
-	return pool.Answer{}, false
-}
-
 // forward sends the job to the leader and waits for the answer, at most until another claim supersedes the leader's. now is
 // when the caller was last known to be connected. When [Gate.ReleaseWaiting] is called, the leader is asked to answer the
 // job unless it has started.
--- /dev/null
+++ b/tamarackpin/internal/gate/offload.go
@@ -0,0 +1,59 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/lead"
+	"tamarackpin.example/internal/offload"
+	"tamarackpin.example/internal/pool"
+)
+
+// chooseGroup returns the last report of the group to which a job of this failure domain's group own is offloaded if that
+// one returns it. tried has the groups that have not run it. ok is false if there is none with capacity left.
+func (g *Gate) chooseGroup(now time.Time, own lead.Group, r pool.Request, tried []pool.Destination) (spare pool.Report, ok bool) {
+	random := rand.Float64
+	if g.Random != nil {
+		random = g.Random
+	}
+	choice := offload.Choice{Candidates: g.Knowledge.SpareGroups(now, own), Tasks: r.Job.TaskCount(), Gates: g.Knowledge.CountGates(), Tried: tried}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, ok := g.balancer.Choose(now, choice, random())
+	return c.Report, ok
+}
+
+// offload forwards a job, returned by its own group with TryElsewhere, to the group in spare. That is the group of earlier, which
+// may be running the job since an earlier try, unless earlier is zero. ok is false if that group did not run the job and will not.
+// If its fate is unknown, offload returns a final answer, as running it in its own group could run it
+// twice. now is when the caller was last known to be connected.
+func (g *Gate) offload(ctx context.Context, now time.Time, earlier pool.Destination, spare pool.Report, r pool.Request) (a pool.Answer, ok bool) {
+	mayRunThere := earlier != pool.Destination{}
+	if !mayRunThere {
+		g.updateBalancer(func(b *offload.Balancer) { b.RecordSent(now, spare.Destination(), r.Job.TaskCount()) })
+	}
+	r.CanOffload, r.Offloaded, r.EarlierContactAge = false, true, 0 // that VM may be of a build that refuses the field
+	result := g.Group.Offload(ctx, now, spare, g.lastCall.Add(1), r)
+	event.Log(g.Log, event.JobSpilled, zap.String("job", string(r.Job.ID)), zap.String("failure_domain", string(spare.FailureDomain)), zap.Int("group", int(spare.Group)),
+		zap.Int("free_places", spare.FreeSlots), zap.Bool("again", mayRunThere), zap.Bool("answered", result.Answered), zap.String("outcome", string(result.Answer.Outcome)))
+	switch {
+	case result.Answered && !result.Answer.TryElsewhere:
+		return result.Answer, true
+	case (result.MayBeRunning || mayRunThere) && !result.Answered:
+		r.MayBeRunning = true
+		return gateAnswer(r, "the group that took the job cannot be heard any more"), true
+	}
+	g.updateBalancer(func(b *offload.Balancer) { b.RecordRefusal(time.Now(), spare.Destination()) })
+	return pool.Answer{}, false
+}
+
+// updateBalancer calls f with what this gate remembers of its offloads.
+func (g *Gate) updateBalancer(f func(*offload.Balancer)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(&g.balancer)
+}
--- a/tamarackpin/internal/gate/offload_refused_test.go
+++ b/tamarackpin/internal/gate/offload_refused_test.go
@@ -152,3 +152,38 @@
 		t.Errorf("the offload has a contact age of %s", age)
 	}
 }
+
+// TestJobIsOfferedToThreeGroups guards against a job that is offered to one group twice, to more than three, or on from a
+// group that has it, and against an offer of which the home group is not told before.
+func TestJobIsOfferedToThreeGroups(t *testing.T) {
+	s := &standInLeader{answer: func(_ int, r pool.Request) runReply {
+		if r.Offloaded || r.CanOffload {
+			return runReply{Answer: pool.Answer{Outcome: job.NotRun, TryElsewhere: true}, Answered: true, Admitted: true}
+		}
+		return runReply{Answer: pool.Answer{Outcome: job.Completed}, Answered: true, Admitted: true}
+	}}
+	g := s.serve(t)
+	for _, d := range []vm.FailureDomain{"b", "c", "d", "e", "f"} {
+		g.Knowledge.RecordReport(time.Now(), pool.Report{FailureDomain: d, VM: "ip-0a000002", Fence: 7, FreeSlots: 100})
+	}
+	a := g.Run(t.Context(), pool.Request{Job: job.Job{ID: "a", Steps: []job.Step{{Count: 4}}}, RemainingWait: 10 * time.Second})
+	if a.Outcome != job.Completed {
+		t.Fatalf("answer %+v, want completed", a)
+	}
+	if len(s.calls) != 7 {
+		t.Fatalf("%d calls, want three offers, each after a call to the home group, and a last call to that one", len(s.calls))
+	}
+	told := make(map[pool.Destination]bool)
+	for i, r := range s.calls {
+		home := i%2 == 0
+		switch {
+		case r.Offloaded == home, r.CanOffload != (home && i < 6), r.OffloadRefused != (i > 0) && home:
+			t.Errorf("call %d: offloaded %v, can be offloaded %v, refused elsewhere %v", i, r.Offloaded, r.CanOffload, r.OffloadRefused)
+		case home && i < 6 && told[r.OffloadTo]:
+			t.Errorf("call %d: offered to %+v twice", i, r.OffloadTo)
+		case !home && r.OffloadTo != s.calls[i-1].OffloadTo:
+			t.Errorf("call %d: offered to %+v, but the home group was told %+v", i, r.OffloadTo, s.calls[i-1].OffloadTo)
+		}
+		told[r.OffloadTo] = true
+	}
+}
