keeper, fleet, platform: store and distribute orders to evacuate a failure domain

Cause: operators evacuate a failure domain and return it to service (docs/design/hard-load.md, part 1). An acknowledged order must survive the loss of a minority of disks and of all power, and a copy of an order that is read late must not win over a later one.

Change: - keeper: a log entry for an order, applied by compare-and-set on the revision of its failure domain. Every applied order gets a revision, also one that changes nothing: otherwise a Begin that is still under way could be applied after a Finish that was acknowledged as being in force already. It does not affect what is applied. - keeper.identify replies say that a member stores evacuations. Heartbeats carry it in replies, and in calls to processes that have said in a reply that they read it. - platform: Evacuations.Begin and Evacuations.Finish. Settings failure_domains and evacuation_bound. - Events 707 to 709, codes 2013 and 5005, gauge tamarackpin.failure_domains.evacuated.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -58,6 +58,17 @@
 // Contains reports whether a failure domain is evacuated.
 func (s Set) Contains(d vm.FailureDomain) bool { return s.domains[d].Evacuated }
 
+// Count returns the number of evacuated failure domains.
+func (s Set) Count() int {
+	n := 0
+	for _, d := range s.domains {
+		if d.Evacuated {
+			n++
+		}
+	}
+	return n
+}
+
 // Age returns how long ago the newest order for a failure domain was committed, at least.
 func (s Set) Age(now time.Time, d vm.FailureDomain) time.Duration {
 	return max(0, now.Sub(s.domains[d].Since))
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -50,6 +50,9 @@
 	MemberChanged     ID = 704
 	TailCutOff        ID = 705
 	TableFetchFailed  ID = 706
+	EvacuationChanged ID = 707
+	EvacuationOrdered ID = 708
+	EvacuationRefused ID = 709
 	LeadTaken         ID = 801
 	LeadLost          ID = 802
 	JobAnswered       ID = 803
@@ -122,6 +125,9 @@
 	{MemberChanged, zapcore.InfoLevel, "control member changed", "The voters of the control quorum changed."},
 	{TailCutOff, zapcore.WarnLevel, "tail cut off", "The end of the control log was not whole and was cut off; it had not been acknowledged."},
 	{TableFetchFailed, zapcore.WarnLevel, "table not fetched", "A VM announced a newer table and did not deliver it; the other VMs that announced it are asked, and the older version `held` stays in force meanwhile."},
+	{EvacuationChanged, zapcore.InfoLevel, "evacuation changed", "This VM learned of an operator's order: the failure domain is evacuated from now on, or not any more. `age` is the time since the order was committed; look at the links of a VM that learns late."},
+	{EvacuationOrdered, zapcore.InfoLevel, "evacuation order acknowledged", "An operator's order to evacuate a failure domain, or to withdraw that, is on a majority of the control VMs' disks, as `revision`. More than one of its `proposals` say that another order came between."},
+	{EvacuationRefused, zapcore.WarnLevel, "evacuation order refused", "An operator's order was not acknowledged, for the reason in `error`; the operator sends it again. With code 5004 it may be applied nevertheless, with 5005 a control VM of an earlier build has to be upgraded first."},
 	{LeadTaken, zapcore.InfoLevel, "lead taken", "This entry VM orders the workers of this group, of the division `epoch`, of its failure domain from now on, under this fence. `peer_news_seconds` is the time since the last heartbeat of each other entry VM."},
 	{LeadLost, zapcore.WarnLevel, "lead lost", "This entry VM does not order the workers of this group any more; another does, or it drains or was frozen. `refused_by` is the worker that has seen a higher fence, if one told."},
 	{JobAnswered, zapcore.InfoLevel, "job answered", "A caller's job is complete."},
--- a/internal/settings/fill.go
+++ b/internal/settings/fill.go
@@ -137,12 +137,7 @@
 	}
 	v.Set(reflect.MakeSlice(v.Type(), len(list), len(list)))
 	for i, element := range list {
-		at := fmt.Sprintf("%s[%d]", path, i)
-		if u, ok := v.Index(i).Addr().Interface().(encoding.TextUnmarshaler); ok {
-			setText(u, reflect.StructField{}, element, at, faults)
-			continue
-		}
-		fill(v.Index(i), element, at+".", faults)
+		set(v.Index(i), reflect.StructField{}, element, fmt.Sprintf("%s[%d]", path, i), faults)
 	}
 }
 
--- a/tamarackpin/internal/fleet/evacuations.go
+++ b/tamarackpin/internal/fleet/evacuations.go
@@ -1,6 +1,14 @@
 package fleet
 
-import "tamarackpin.example/internal/evacuation"
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"tamarackpin.example/internal/evacuation"
+	"tamarackpin.example/internal/event"
+	"tamarackpin.example/internal/vm"
+)
 
 // Evacuations returns the failure domains that operators evacuate, as far as this VM knows.
 func (k *Knowledge) Evacuations() evacuation.Set {
@@ -13,11 +21,36 @@
 func (k *Knowledge) SetEvacuations(s evacuation.Set) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	before := k.evacuations.Revision()
+	now, changed := time.Now(), false
 	for _, d := range s.Domains() {
-		k.evacuations = k.evacuations.With(d)
+		if d.Revision <= k.evacuations.RevisionOf(d.FailureDomain) {
+			continue
+		}
+		k.evacuations, changed = k.evacuations.With(d), true
+		event.Log(k.log, event.EvacuationChanged, zap.String("failure_domain", string(d.FailureDomain)), zap.Bool("evacuated", d.Evacuated),
+			zap.Uint64("revision", uint64(d.Revision)), zap.Duration("age", k.evacuations.Age(now, d.FailureDomain)))
 	}
-	if k.evacuations.Revision() != before {
+	if changed {
 		k.notifyChanged()
 	}
 }
+
+// KnowsFailureDomain reports whether this VM, another VM, a worker or an operator's order is known that names a failure domain.
+func (k *Knowledge) KnowsFailureDomain(d vm.FailureDomain) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.self.FailureDomain == d || k.evacuations.RevisionOf(d) > 0 {
+		return true
+	}
+	for p := range k.roster.All {
+		if p.FailureDomain == d {
+			return true
+		}
+	}
+	for r := range k.registry.All {
+		if r.FailureDomain == d {
+			return true
+		}
+	}
+	return false
+}
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"tamarackpin.example/internal/evacuation"
 	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
@@ -39,7 +40,10 @@
 	Reports           []pool.Report   `json:"reports,omitempty"` // of the groups that the sender leads
 	// Division is the newest of the sender's failure domain that the sender knows.
 	Division lead.Division `json:"division,omitzero"`
-	Wait     wire.Duration `json:"wait,omitempty"` // longest delay of the reply while nothing urgent changes
+	// Evacuations is the newest revision of the evacuations that the sender knows. It is not 0 only where the control VMs are of a
+	// build that knows the field: earlier ones refuse it.
+	Evacuations evacuation.Revision `json:"evacuations,omitempty"`
+	Wait        wire.Duration       `json:"wait,omitempty"` // longest delay of the reply while nothing urgent changes
 }
 
 // syncReply has the changes after a syncRequest's cursors, and the cursors for the
@@ -58,6 +62,8 @@
 	Reports      []agedReport    `json:"reports,omitempty"` // of groups that the requester doesn't lead
 	// Division is that of the requester's failure domain, if newer than requested.
 	Division lead.Division `json:"division,omitzero"`
+	// Evacuations has all evacuations, if the sender knows a higher revision than the requester.
+	Evacuations []evacuation.Record `json:"evacuations,omitempty"`
 }
 
 type agedReport struct {
@@ -130,6 +136,9 @@
 	if d := k.divisions[req.Self.FailureDomain]; d.Epoch > req.Division.Epoch {
 		reply.Division, urgent = d, true
 	}
+	if k.evacuations.Revision() > req.Evacuations {
+		reply.Evacuations, urgent = k.evacuations.Records(now), true
+	}
 	for p := range k.roster.All {
 		if p.Renewed > req.VMCursor && p.VM != req.Self.VM {
 			reply.VMs = append(reply.VMs, agedVM{p.Presence, wire.Duration(max(0, now.Sub(p.Heard))).Round()})
@@ -198,6 +207,7 @@
 	}
 	k.mu.Unlock()
 	k.SetDivision(k.Self().FailureDomain, reply.Division)
+	k.SetEvacuations(evacuation.OfRecords(now, reply.Evacuations))
 	k.AdoptTable(reply.Table, reply.Self.VM)
 	if reply.Delta != nil && reply.Delta.Version > k.tableVersion() {
 		if err := k.adoptDelta(*reply.Delta, reply.Self.VM); err != nil {
--- a/tamarackpin/internal/fleet/syncer.go
+++ b/tamarackpin/internal/fleet/syncer.go
@@ -122,6 +122,7 @@
 		req.Self = s.Knowledge.Self()
 		req.Reports = s.Knowledge.ownReports()
 		req.Division = s.Knowledge.Division(req.Self.FailureDomain)
+		req.Evacuations = s.Knowledge.Evacuations().Revision()
 		req.Wait = wire.Duration(s.wait())
 		hurries, hurried := s.hurry()
 		if hurries != hurriesSeen {
@@ -264,7 +265,8 @@
 
 // FetchFrom fetches all that another VM knows, once, and reports whether that VM
 // replied. A process that starts while no control VM is reachable gets the table
-// and the workers from its neighbours this way.
+// and the workers from its neighbours this way. It does not tell which evacuations it knows, as a
+// neighbour of an earlier build would refuse that, so the reply has all.
 func (s *Syncer) FetchFrom(ctx context.Context, from vm.ID) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncSlack)
 	defer cancel()
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -57,10 +57,16 @@
 	Withdrawn []uint64 `json:"withdrawn,omitempty"`
 	// ReadsWithdrawals is set in replies only, as ReadsContactAge. The sender reads the field Withdrawn of all messages.
 	ReadsWithdrawals bool `json:"reads_withdrawals,omitempty"`
+	evacuationNews
 }
 
 // heartbeat returns a heartbeat for another entry VM.
-func (g *Group) heartbeat(to vm.ID) heartbeat { return g.heartbeatMade(to, g.stampFor(to, time.Now())) }
+func (g *Group) heartbeat(to vm.ID) heartbeat {
+	now := time.Now()
+	hb := g.heartbeatMade(to, g.stampFor(to, now))
+	hb.evacuationNews = g.evacuationsFor(now, to)
+	return hb
+}
 
 // heartbeatMade returns a heartbeat with a stamp that was just made. The stamp is made before the claims are read: if this
 // gate forwards its jobs because of a newer claim, either ContactAge includes the stamp, or the heartbeat carries the claim.
@@ -195,8 +201,10 @@
 // serveExchange replies only after the fetch that the heartbeat may cause.
 func (g *Group) serveExchange(ctx context.Context, _ vm.ID, hb heartbeat) (heartbeat, error) {
 	g.receiveHeartbeat(ctx, hb)
-	reply := g.heartbeatMade(hb.Self.VM, g.replyStamp(hb.Self.VM, time.Now()))
-	reply.ReadsContactAge, reply.ReadsWithdrawals = true, true
+	now := time.Now()
+	reply := g.heartbeatMade(hb.Self.VM, g.replyStamp(hb.Self.VM, now))
+	reply.evacuationNews = g.evacuationsSince(now, hb.EvacuationRevision)
+	reply.ReadsContactAge, reply.ReadsWithdrawals, reply.ReadsEvacuations = true, true, true
 	return reply, nil
 }
 
@@ -217,6 +225,7 @@
 			c.readsWithdrawals = c.readsWithdrawals || hb.ReadsWithdrawals
 		})
 	}
+	g.receiveEvacuations(now, sender, hb.evacuationNews)
 	g.config.Knowledge.ObserveVM(now, hb.Self, 0)
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.applyHeartbeat(now, hb) })
 	g.config.Syncer.TableAnnounced(ctx, hb.Self.VM, hb.Version)
--- a/tamarackpin/internal/group/last_contact.go
+++ b/tamarackpin/internal/group/last_contact.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"tamarackpin.example/internal/evacuation"
 	"tamarackpin.example/internal/event"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/vm"
@@ -43,6 +44,10 @@
 	readsContactAge bool
 	// readsWithdrawals reports that the process reads the list of withdrawals in messages.
 	readsWithdrawals bool
+	// readsEvacuations reports that the process reads evacuations in heartbeats, and evacuationRevision is the newest that it
+	// has told.
+	readsEvacuations   bool
+	evacuationRevision evacuation.Revision
 }
 
 // stamp tells when a process made a message, on its own clock, or an earlier time: see lastContacts.show.
--- a/tamarackpin/internal/keeper/entry.go
+++ b/tamarackpin/internal/keeper/entry.go
@@ -8,14 +8,18 @@
 
 	"github.com/cockroachdb/errors"
 
+	"tamarackpin.example/internal/quorum"
 	"tamarackpin.example/internal/routes"
 )
 
-// entry is one log entry: a table to store, or a barrier, which stores nothing and
-// makes the proposer see the table as of its position in the log.
+// entry is one log entry: a table to store, an order, the members that store evacuations, or a
+// barrier, which stores nothing and makes the proposer see the table as of its position in the log.
+// Earlier builds know tables and barriers only, and skip the others in the log.
 type entry struct {
-	Table   *routes.Table `json:"table,omitempty"`
-	Barrier bool          `json:"barrier,omitempty"`
+	Table   *routes.Table    `json:"table,omitempty"`
+	Barrier bool             `json:"barrier,omitempty"`
+	Order   *order           `json:"evacuation,omitempty"`
+	Storing *[]quorum.Member `json:"storing_evacuations,omitempty"`
 }
 
 const (
--- a/tamarackpin/internal/keeper/keeper.go
+++ b/tamarackpin/internal/keeper/keeper.go
@@ -1,7 +1,7 @@
-// Package keeper stores the operators' table of a deployment whose VMs discover
+// Package keeper stores what operators order in a deployment whose VMs discover
 // each other, replicated on the disks of the control VMs: the table of the highest
-// version that a majority of them holds. The operators' calls to read and replace
-// the table end here.
+// version that a majority of them holds, and the failure domains that are evacuated. The
+// operators' calls to read and replace the table, and to evacuate, end here.
 package keeper
 
 import (
@@ -9,10 +9,10 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"tamarackpin.example/internal/code"
+	"tamarackpin.example/internal/evacuation"
 	"tamarackpin.example/internal/quorum"
 	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/routes"
@@ -55,7 +55,11 @@
 	config  Config
 	self    vm.ID
 	replica *replica.Replica
-	table   *routes.Table // used by the replica's goroutine only
+	support support
+
+	// Used by the replica's goroutine only.
+	state             state
+	storingProposedAt time.Time // when this member last proposed which members store evacuations
 }
 
 // New opens the replica's state in the data folder and registers the Keeper's
@@ -66,15 +70,19 @@
 	k.replica, err = replica.New(replica.Config{
 		Folder: c.Settings.DataFolder, Self: k.self, Log: c.Log,
 		Machine: replica.Machine{
-			Apply: k.apply, Restore: k.restore, Led: func(vm.ID) {},
-			Settle:   func(time.Time, *quorum.Core) { c.Knowledge.AdoptTable(k.table, k.self) },
-			Snapshot: func() ([]byte, error) { return encode(k.table) },
+			Apply:   func(_ quorum.Index, data []byte) (any, error) { return k.state.apply(time.Now(), data) },
+			Restore: func(data []byte) error { return k.state.restore(time.Now(), data) },
+			Settle:  k.settle, Snapshot: k.state.encode, Led: func(vm.ID) {},
 		},
 		Send: func(ctx context.Context, to vm.ID, m quorum.Message) error {
 			return c.Mesh.Notify(ctx, to, report.UseControl, methodMessage, m)
 		},
 		Ask: func(ctx context.Context, v vm.ID) (replica.Identity, error) {
-			return peer.Call[replica.Identity](ctx, c.Mesh, v, report.UseControl, methodIdentify, struct{}{})
+			id, err := peer.Call[identity](ctx, c.Mesh, v, report.UseControl, methodIdentify, struct{}{})
+			if err == nil {
+				k.support.record(id)
+			}
+			return id.Identity, err
 		},
 		Founders: c.Settings.Founders(), MayFound: c.Settings.FirstStart,
 		Wanted: k.desiredMembers,
@@ -86,8 +94,9 @@
 		k.replica.Receive(ctx, m)
 		return struct{}{}, nil
 	})
-	peer.Handle(x, methodIdentify, func(ctx context.Context, _ vm.ID, _ struct{}) (replica.Identity, error) {
-		return k.replica.Identify(ctx)
+	peer.Handle(x, methodIdentify, func(ctx context.Context, _ vm.ID, _ struct{}) (identity, error) {
+		id, err := k.replica.Identify(ctx)
+		return identity{id, true}, err
 	})
 	peer.Handle(x, methodPropose, func(ctx context.Context, _ vm.ID, e entry) (proposalResult, error) { return k.proposeLocal(ctx, e) })
 	return k, nil
@@ -97,25 +106,12 @@
 // cannot be trusted.
 func (k *Keeper) Run(ctx context.Context) error { return k.replica.Run(ctx) }
 
-func (k *Keeper) restore(data []byte) error {
-	k.table = nil
-	if len(data) == 0 {
-		return nil
-	}
-	return errors.Wrap(decode(data, &k.table), "restoring the table")
-}
-
-// apply applies a committed entry and returns the table after it; nil while there is
-// none. A table of the same or a lower version changes nothing.
-func (k *Keeper) apply(_ quorum.Index, data []byte) (any, error) {
-	var e entry
-	if err := decode(data, &e); err != nil {
-		return nil, errors.Wrap(err, "decoding a table entry")
-	}
-	if e.Table != nil {
-		k.table = routes.Later(k.table, e.Table)
-	}
-	return k.table, nil
+// settle publishes the state on this VM. A leader also notes in the log which members store
+// evacuations.
+func (k *Keeper) settle(now time.Time, core *quorum.Core) {
+	k.config.Knowledge.AdoptTable(k.state.table, k.self)
+	k.config.Knowledge.SetEvacuations(k.state.orders.set)
+	k.proposeStoring(now, core)
 }
 
 // desiredMembers returns the VMs that should be members of the quorum: the
@@ -161,11 +157,23 @@
 	Leads  bool          `json:"leads"`
 	Leader vm.ID         `json:"leader,omitempty"`
 	Table  *routes.Table `json:"table,omitempty"` // current one after the proposal
+	// Applied reports that the proposed order was applied, and Revision is that of its failure domain
+	// after the proposal.
+	Applied  bool                `json:"applied,omitempty"`
+	Revision evacuation.Revision `json:"revision,omitempty"`
 }
 
 // proposeLocal proposes e if this member is the leader, and waits until it is
 // applied. After an error with code.TableOutcomeUnsure it may still be applied.
 func (k *Keeper) proposeLocal(ctx context.Context, e entry) (proposalResult, error) {
+	if e.Order != nil {
+		unlogged, refusal := k.checkSupport(ctx)
+		if refusal != nil {
+			return proposalResult{}, refusal
+		}
+		e.Storing = unlogged
+		e.Order.Proposed = time.Now().UnixMilli()
+	}
 	data, err := encode(e)
 	if err != nil {
 		return proposalResult{}, code.New(code.Internal, "encoding a table: %v", err)
@@ -174,24 +182,24 @@
 	if err != nil {
 		return proposalResult{}, code.New(code.TableOutcomeUnsure, "%v", err)
 	}
-	table, _ := d.Result.(*routes.Table)
-	return proposalResult{d.Leads, d.Leader, table}, nil
+	r, _ := d.Result.(result)
+	return proposalResult{d.Leads, d.Leader, r.table, r.applied, r.revision}, nil
 }
 
-// propose finds the leader, proposes e there and returns the table after it. It
+// propose finds the leader, proposes e there and returns the result. It
 // looks for the leader again only if e was surely not proposed: the member asked
 // does not lead, or the call was not sent.
-func (k *Keeper) propose(ctx context.Context, e entry) (*routes.Table, *code.Error) {
+func (k *Keeper) propose(ctx context.Context, e entry) (proposalResult, *code.Error) {
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 	defer cancel()
 	to := k.self
 	for {
 		result, err := k.proposeAt(ctx, to, e)
 		if err != nil && !peer.NotSent(err) {
-			return nil, code.Of(err)
+			return proposalResult{}, code.Of(err)
 		}
 		if result.Leads {
-			return result.Table, nil
+			return result, nil
 		}
 		to = k.self
 		if result.Leader != "" {
@@ -199,7 +207,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, code.New(code.TableUnavailable, "no leader of the control quorum was found within %s", proposalTimeout)
+			return proposalResult{}, code.New(code.TableUnavailable, "no leader of the control quorum was found within %s", proposalTimeout)
 		case <-time.After(retryInterval):
 		}
 	}
@@ -231,9 +239,9 @@
 // Read returns the newest table, confirmed by a barrier in the log, or an error if it
 // cannot be confirmed or there is no table yet.
 func (k *Keeper) Read(ctx context.Context) (*routes.Table, *code.Error) {
-	t, refusal := k.propose(ctx, entry{Barrier: true})
-	if refusal == nil && t == nil {
+	result, refusal := k.propose(ctx, entry{Barrier: true})
+	if refusal == nil && result.Table == nil {
 		return nil, code.New(code.TableUnavailable, "there is no table yet")
 	}
-	return t, refusal
+	return result.Table, refusal
 }
--- a/tamarackpin/internal/metrics/metrics.go
+++ b/tamarackpin/internal/metrics/metrics.go
@@ -45,6 +45,8 @@
 	Running      func() int64
 	InHand       func() int64
 	TableVersion func() int64
+	// Evacuated is nil where no failure domain can be evacuated.
+	Evacuated func() int64
 }
 
 // New returns Metrics that read g at each scrape.
@@ -83,7 +85,11 @@
 		{"tamarackpin.tasks.running", "Tasks that run on targets.", g.Running},
 		{"tamarackpin.callers.in_hand", "Callers that wait for a reply.", g.InHand},
 		{"tamarackpin.table.version", "Version of the table in force.", g.TableVersion},
+		{"tamarackpin.failure_domains.evacuated", "Failure domains that operators evacuate, as far as this VM knows.", g.Evacuated},
 	} {
+		if one.read == nil {
+			continue
+		}
 		_, err := meter.Int64ObservableGauge(one.name, metric.WithDescription(one.description),
 			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 				o.Observe(one.read())
--- a/tamarackpin/internal/node/connection.go
+++ b/tamarackpin/internal/node/connection.go
@@ -34,6 +34,9 @@
 	return left || err != nil
 }
 
+// Waiting reports whether the client of a request still waits for its reply. ctx is that of the request.
+func (n *Node) Waiting(ctx context.Context) bool { return ctx.Err() == nil && !clientLeft(ctx) }
+
 // peerClosed reports whether the other end of a socket has been closed. Reading ahead tells that unless there are unread bytes; the
 // state of the socket always does, and costs more.
 func peerClosed(fd int) bool {
--- a/tamarackpin/internal/node/metrics.go
+++ b/tamarackpin/internal/node/metrics.go
@@ -28,6 +28,7 @@
 			}
 			return 0
 		},
+		Evacuated: func() int64 { return int64(n.Knowledge.Evacuations().Count()) },
 	})
 }
 
