--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -132,6 +132,13 @@
 // Applied returns the index up to which entries were handed out.
 func (c *Core) Applied() Index { return c.applied }
 
+// Current reports whether a leader has committed an entry of its own term. Before, it may not know what
+// earlier leaders committed, and so may not have handed it out.
+func (c *Core) Current() bool {
+	term, _ := c.log.term(c.commit)
+	return c.role == Leader && term == c.hard.Term
+}
+
 // LogLength returns the number of entries after the snapshot.
 func (c *Core) LogLength() int { return len(c.log.entries) }
 
--- a/tamarackpin/internal/keeper/keeper.go
+++ b/tamarackpin/internal/keeper/keeper.go
@@ -14,7 +14,6 @@
 	"tamarackpin.example/internal/code"
 	"tamarackpin.example/internal/evacuation"
 	"tamarackpin.example/internal/quorum"
-	"tamarackpin.example/internal/report"
 	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/settings"
 	"tamarackpin.example/internal/vm"
@@ -55,17 +54,30 @@
 	config  Config
 	self    vm.ID
 	replica *replica.Replica
+	calls   calls
 	support support
 
 	// Used by the replica's goroutine only.
-	state             state
-	storingProposedAt time.Time // when this member last proposed which members store evacuations
+	state state
+	// storingProposed has the members that store evacuations that this member last proposed to note.
+	storingProposed   []quorum.Member
+	storingProposedAt time.Time
 }
 
 // New opens the replica's state in the data folder and registers the Keeper's
 // methods with x. It fails if that state cannot be opened; [Keeper.Run] must follow.
 func New(c Config, x *peer.Mux) (*Keeper, error) {
-	k := &Keeper{config: c, self: c.Settings.ID()}
+	k, err := open(c, meshCalls(c.Mesh))
+	if err != nil {
+		return nil, err
+	}
+	k.register(x)
+	return k, nil
+}
+
+// open does what New does with these calls, without registering methods.
+func open(c Config, calls calls) (*Keeper, error) {
+	k := &Keeper{config: c, self: c.Settings.ID(), calls: calls}
 	var err error
 	k.replica, err = replica.New(replica.Config{
 		Folder: c.Settings.DataFolder, Self: k.self, Log: c.Log,
@@ -74,11 +86,9 @@
 			Restore: func(data []byte) error { return k.state.restore(time.Now(), data) },
 			Settle:  k.settle, Snapshot: k.state.encode, Led: func(vm.ID) {},
 		},
-		Send: func(ctx context.Context, to vm.ID, m quorum.Message) error {
-			return c.Mesh.Notify(ctx, to, report.UseControl, methodMessage, m)
-		},
+		Send: calls.message,
 		Ask: func(ctx context.Context, v vm.ID) (replica.Identity, error) {
-			id, err := peer.Call[identity](ctx, c.Mesh, v, report.UseControl, methodIdentify, struct{}{})
+			id, err := calls.identify(ctx, v)
 			if err == nil {
 				k.support.record(id)
 			}
@@ -90,15 +100,6 @@
 	if err != nil {
 		return nil, err
 	}
-	peer.Handle(x, methodMessage, func(ctx context.Context, _ vm.ID, m quorum.Message) (struct{}, error) {
-		k.replica.Receive(ctx, m)
-		return struct{}{}, nil
-	})
-	peer.Handle(x, methodIdentify, func(ctx context.Context, _ vm.ID, _ struct{}) (identity, error) {
-		id, err := k.replica.Identify(ctx)
-		return identity{id, true}, err
-	})
-	peer.Handle(x, methodPropose, func(ctx context.Context, _ vm.ID, e entry) (proposalResult, error) { return k.proposeLocal(ctx, e) })
 	return k, nil
 }
 
@@ -218,7 +219,7 @@
 	if to == k.self {
 		return k.proposeLocal(ctx, e)
 	}
-	return peer.Call[proposalResult](ctx, k.config.Mesh, to, report.UseControl, methodPropose, e)
+	return k.calls.propose(ctx, to, e)
 }
 
 // Replace stores a table. It returns nil once a table of the same or a higher
--- a/tamarackpin/internal/keeper/support.go
+++ b/tamarackpin/internal/keeper/support.go
@@ -64,40 +64,53 @@
 // stores evacuations: a member of an earlier build would drop them from its snapshots. It returns the members unless the log
 // has them already.
 func (k *Keeper) checkSupport(ctx context.Context) (unlogged *[]quorum.Member, refusal *code.Error) {
-	var others []quorum.Member
-	if !k.replica.Do(ctx, func(core *quorum.Core, _ time.Time) {
-		if core.Role() != quorum.Leader {
-			return
+	for {
+		var storing, logged, others []quorum.Member
+		behind := false // what earlier leaders logged may not be applied yet
+		if !k.replica.Do(ctx, func(core *quorum.Core, _ time.Time) {
+			if core.Role() == quorum.Leader {
+				logged, behind = k.state.storing, !core.Current()
+				storing, others = k.support.storing(k.self, core.Config(), logged)
+			}
+		}) {
+			return nil, code.New(code.TableUnavailable, "%v", replica.ErrStopped)
 		}
-		var storing []quorum.Member
-		if storing, others = k.support.storing(k.self, core.Config(), k.state.storing); !sameMembers(storing, k.state.storing) {
-			unlogged = &storing
+		switch {
+		case len(others) == 0 && sameMembers(storing, logged):
+			return nil, nil
+		case len(others) == 0:
+			return &storing, nil
+		case !behind:
+			return nil, code.New(code.QuorumOutdated, "control VM %s has not announced that it stores evacuations", others[0].VM)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, code.New(code.TableUnavailable, "the leader of the control quorum has not committed anything yet")
+		case <-time.After(behindInterval):
 		}
-	}) {
-		return nil, code.New(code.TableUnavailable, "%v", replica.ErrStopped)
-	}
-	if len(others) > 0 {
-		return nil, code.New(code.QuorumOutdated, "control VM %s has not announced that it stores evacuations", others[0].VM)
 	}
-	return unlogged, nil
 }
 
-// storingInterval is the least time between two proposals of the members that store evacuations: an entry is
-// committed well within it.
-const storingInterval = time.Second
+const (
+	// storingInterval is the least time between two proposals of the same members that store evacuations: an entry is
+	// committed well within it.
+	storingInterval = time.Second
+	// behindInterval is the pause before an order is checked again by a leader that has just been elected.
+	behindInterval = 10 * time.Millisecond
+)
 
 // proposeStoring notes in the log which members store evacuations, if that has changed. A later leader needs it
 // for members that it has not heard yet, which may be lost for good. The entry of an order notes it too, so that the next
 // order is accepted if the leader is lost right after the first one.
 func (k *Keeper) proposeStoring(now time.Time, core *quorum.Core) {
-	if core.Role() != quorum.Leader || now.Sub(k.storingProposedAt) < storingInterval {
+	if !core.Current() {
 		return
 	}
 	storing, _ := k.support.storing(k.self, core.Config(), k.state.storing)
-	if sameMembers(storing, k.state.storing) {
+	if sameMembers(storing, k.state.storing) || sameMembers(storing, k.storingProposed) && now.Sub(k.storingProposedAt) < storingInterval {
 		return
 	}
-	k.storingProposedAt = now
+	k.storingProposed, k.storingProposedAt = storing, now
 	data, err := encode(entry{Storing: &storing})
 	if err == nil {
 		_, _, err = core.Propose(now, data)
