Operators' listener of a VM with workers

Cause: a VM in a deployment with workers had no interface for the project's own operators, so evacuations and interference could be neither ordered nor seen except through the platform.

Change: settings of a Node get an optional section operators (address, TLS, credential; absent: no listener). Package nodeoperator serves evacuations, orders, interference and a small status. The credential check moves from package operator to jsonhttp.Credential, the one copy. Orders are refused with 5005 on entry VMs and with 5006 where evacuations cannot be stored; that is every control VM until Keeper.Evacuate is wired. The group's counts are now updated with each tick: they kept the value of the last order or answer, also after the last task had ended or leadership was lost. Whether a client has left is now also known of connections over TLS.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -12,45 +12,47 @@
 type Code int
 
 // The codes: 1xxx done, 2xxx bad input, 3xxx refused, 4xxx failed, 5xxx
-// operators' table, 9xxx faults of the system itself.
+// operators' table and orders, 9xxx faults of the system itself.
 const (
-	OK                 Code = 1000
-	BadJSON            Code = 2001
-	TooLarge           Code = 2002
-	BadField           Code = 2003
-	UnknownParty       Code = 2004
-	IncompleteBody     Code = 2005
-	NotFound           Code = 2006
-	MethodNotAllowed   Code = 2007
-	Unauthorized       Code = 2008
-	IDConflict         Code = 2009
-	UnknownSubmission  Code = 2010
-	OutcomeUnknown     Code = 2011
-	AnswerExpired      Code = 2012
-	QueueFull          Code = 3001
-	DeadlineTooClose   Code = 3002
-	RateLimited        Code = 3003
-	NoTarget           Code = 3004
-	Draining           Code = 3005
-	DeadlinePassed     Code = 3006
-	Cancelled          Code = 3007
-	LedgerUnreachable  Code = 3008
-	NotReady           Code = 3009
-	LedgerFull         Code = 3010
-	TargetBusy         Code = 3011
-	TargetFailed       Code = 4001
-	TargetLost         Code = 4002
-	TimeLimit          Code = 4003
-	BadAnswer          Code = 4004
-	InDoubt            Code = 4005
-	SubmissionFailed   Code = 4006
-	CancelledLate      Code = 4007
-	PeerLost           Code = 4008
-	StaleVersion       Code = 5001
-	BadTable           Code = 5002
-	TableUnavailable   Code = 5003
-	TableOutcomeUnsure Code = 5004
-	Internal           Code = 9001
+	OK                    Code = 1000
+	BadJSON               Code = 2001
+	TooLarge              Code = 2002
+	BadField              Code = 2003
+	UnknownParty          Code = 2004
+	IncompleteBody        Code = 2005
+	NotFound              Code = 2006
+	MethodNotAllowed      Code = 2007
+	Unauthorized          Code = 2008
+	IDConflict            Code = 2009
+	UnknownSubmission     Code = 2010
+	OutcomeUnknown        Code = 2011
+	AnswerExpired         Code = 2012
+	QueueFull             Code = 3001
+	DeadlineTooClose      Code = 3002
+	RateLimited           Code = 3003
+	NoTarget              Code = 3004
+	Draining              Code = 3005
+	DeadlinePassed        Code = 3006
+	Cancelled             Code = 3007
+	LedgerUnreachable     Code = 3008
+	NotReady              Code = 3009
+	LedgerFull            Code = 3010
+	TargetBusy            Code = 3011
+	TargetFailed          Code = 4001
+	TargetLost            Code = 4002
+	TimeLimit             Code = 4003
+	BadAnswer             Code = 4004
+	InDoubt               Code = 4005
+	SubmissionFailed      Code = 4006
+	CancelledLate         Code = 4007
+	PeerLost              Code = 4008
+	StaleVersion          Code = 5001
+	BadTable              Code = 5002
+	TableUnavailable      Code = 5003
+	TableOutcomeUnsure    Code = 5004
+	AskControlVM          Code = 5005
+	EvacuationUnavailable Code = 5006
+	Internal              Code = 9001
 )
 
 // Entry describes one code.
@@ -99,6 +101,8 @@
 	{BadTable, "bad_table", http.StatusBadRequest, NotRun, "The table has faults; each is named with its row and column."},
 	{TableUnavailable, "table_unavailable", http.StatusServiceUnavailable, NotRun, "The change was not applied: the holder of the table cannot be reached."},
 	{TableOutcomeUnsure, "table_outcome_unsure", http.StatusServiceUnavailable, MayHaveRun, "The answer about the change was lost; send it again under the same change id."},
+	{AskControlVM, "ask_control_vm", http.StatusMisdirectedRequest, NotRun, "This VM takes no orders of operators: send the order to the operators' address of a control VM."},
+	{EvacuationUnavailable, "evacuation_unavailable", http.StatusServiceUnavailable, NotRun, "The order was not applied: the control VMs cannot store evacuations now."},
 	{Internal, "internal", http.StatusInternalServerError, MayHaveRun, "A fault of the system; the log event of the same time tells more."},
 }
 
--- a/internal/code/code_test.go
+++ b/internal/code/code_test.go
@@ -29,7 +29,7 @@
 func TestPage(t *testing.T) {
 	var b bytes.Buffer
 	b.WriteString("# Result codes\n\nEvery reply carries one. The outcome says whether the work was run: `not_run` is\na promise that no byte of it reached a target. A reply may carry a sharper\noutcome than its code's where the process that answers knows more.\n\n")
-	b.WriteString("1xxx done, 2xxx bad input, 3xxx refused, 4xxx failed, 5xxx the table, 9xxx a\nfault of the system.\n\n| code | name | HTTP status | outcome | meaning |\n| --- | --- | --- | --- | --- |\n")
+	b.WriteString("1xxx done, 2xxx bad input, 3xxx refused, 4xxx failed, 5xxx the table and\norders of operators, 9xxx a fault of the system.\n\n| code | name | HTTP status | outcome | meaning |\n| --- | --- | --- | --- | --- |\n")
 	for _, e := range All() {
 		fmt.Fprintf(&b, "| %d | `%s` | %d | `%s` | %s |\n", e.Code, e.Name, e.Status, e.Outcome, e.Meaning)
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -19,9 +19,7 @@
 // check adds the faults that lie between fields.
 func (s *Settings) check(faults *Faults) {
 	s.checkVMs(faults)
-	if len(s.Operators.Credential) < minCredentialLength {
-		faults.add("operators.credential", "", "too short: want at least %d characters", minCredentialLength)
-	}
+	s.Operators.checkCredential(faults)
 	s.Callers.TLS.check("callers.tls.", true, faults)
 	s.Targets.TLS.check("targets.tls.", true, faults)
 	s.Operators.TLS.check("operators.tls.", true, faults)
@@ -77,6 +75,12 @@
 	}
 }
 
+func (o Operators) checkCredential(faults *Faults) {
+	if len(o.Credential) < minCredentialLength {
+		faults.add("operators.credential", "", "too short: want at least %d characters", minCredentialLength)
+	}
+}
+
 func (t TLS) check(path string, server bool, faults *Faults) {
 	if !t.Enabled() {
 		return
--- a/internal/settings/fill.go
+++ b/internal/settings/fill.go
@@ -87,6 +87,9 @@
 	switch v.Kind() {
 	case reflect.Struct:
 		fill(v, value, path+".", faults)
+	case reflect.Pointer: // an optional section, whose fields must be given only if it is
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem(), value, path+".", faults)
 	case reflect.Slice:
 		setList(v, value, path, faults)
 	case reflect.String:
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -16,6 +16,7 @@
 	Callers       Address          `json:"callers" optional:"true" doc:"Where callers are served; a VM without it takes no work."`
 	Readiness     Address          `json:"readiness" optional:"true" doc:"Where the balancer asks whether this VM is ready."`
 	Control       Address          `json:"control" optional:"true" doc:"Where workers and operators are served; a VM with it is a member of the control quorum."`
+	Operators     *Operators       `json:"operators" optional:"true" doc:"Where operators are served, on any VM; absent: nowhere."`
 	PeerPort      int              `json:"peer_port" min:"1" max:"65535" doc:"Port for the other VMs, the same on all."`
 	PeerListen    Address          `json:"peer_listen" optional:"true" doc:"Where the other VMs are served, if a relay passes on what arrives at ip and peer_port."`
 	MetricsPort   int              `json:"metrics_port" min:"1" max:"65535" doc:"Port where metrics are served."`
@@ -54,6 +55,10 @@
 	if n.Control != "" && n.DataFolder == "" {
 		faults.add("data_folder", "", "missing: a VM with control keeps the table on its disk")
 	}
+	if n.Operators != nil {
+		n.Operators.checkCredential(faults)
+		n.Operators.TLS.check("operators.tls.", true, faults)
+	}
 	if len(n.Seeds) == 0 {
 		faults.add("seeds", "[]", "want one address at least")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -77,6 +77,8 @@
 		switch f.Type.Kind() {
 		case reflect.Struct:
 			document(b, f.Type, key+".")
+		case reflect.Pointer:
+			document(b, f.Type.Elem(), key+".")
 		case reflect.Slice:
 			if f.Type.Elem().Kind() == reflect.Struct {
 				document(b, f.Type.Elem(), key+"[].")
@@ -85,6 +87,35 @@
 	}
 }
 
+// TestNodeOperators guards against a VM with workers that listens for operators without being told to, or without a
+// credential.
+func TestNodeOperators(t *testing.T) {
+	const rest = `"name":"a","ip":"127.0.0.1","failure_domain":"a","callers":"127.0.0.1:1","readiness":"127.0.0.1:2","peer_port":3,
+		"metrics_port":4,"seeds":["127.0.0.1:5"],"lease_max":"1s","stop_max":"1s","shutdown_limit":"5s"`
+	for _, c := range []struct{ name, section, want string }{
+		{"absent", ``, ""},
+		{"given", `"operators":{"address":"127.0.0.1:6","credential":"sixteen-letters-"},`, ""},
+		{"no credential", `"operators":{"address":"127.0.0.1:6"},`, "operators.credential: missing: Bearer token that operators send; at least 16 characters."},
+		{"short credential", `"operators":{"address":"127.0.0.1:6","credential":"short"},`, "operators.credential: too short: want at least 16 characters"},
+		{"unknown key", `"operators":{"address":"127.0.0.1:6","credential":"sixteen-letters-","port":1},`, "operators.port: 1: unknown key; want one of [address credential tls]"},
+		{"not an object", `"operators":true,`, "operators.(object): true: want an object"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var n Node
+			got := ""
+			if err := parse([]byte("{"+c.section+rest+"}"), &n); err != nil {
+				got = err.Error()
+			}
+			if got != c.want {
+				t.Errorf("faults %q, want %q", got, c.want)
+			}
+			if (n.Operators == nil) != (c.section == "") {
+				t.Errorf("operators %+v", n.Operators)
+			}
+		})
+	}
+}
+
 func TestDefaultsAreWithinTheirBounds(t *testing.T) {
 	a, err := txtar.ParseFile("testdata/least.txtar")
 	if err != nil {
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -141,8 +141,8 @@
 	return g
 }
 
-// Counts returns the totals of Waiting and Running over the groups that this VM leads, as
-// of the last orders or answers; the other counts are zero.
+// Counts returns the totals of Waiting and Assigned over the groups that this VM leads, as
+// of the last tick; the other counts are zero.
 func (g *Group) Counts() pool.Counts {
 	if c := g.counts.Load(); c != nil {
 		return *c
@@ -273,6 +273,7 @@
 			s.pool.Tick(now)
 		}
 	}
+	g.updateCounts()
 }
 
 // updateWorkers passes new announcements of workers to the pools, and reports the free
@@ -348,12 +349,9 @@
 	g.logStarts(now, s, orders)
 	g.logFound(s)
 	g.logRunsKnown(now, s)
-	if len(orders)+len(answers) > 0 {
-		g.updateCounts()
-	}
 }
 
-// updateCounts stores the totals of the pools for [Group.Counts], which metrics read.
+// updateCounts stores the totals of the pools for [Group.Counts], which metrics and operators read.
 func (g *Group) updateCounts() {
 	var total pool.Counts
 	for _, s := range g.groups {
@@ -362,7 +360,9 @@
 			total.Assigned += s.pool.Counts.Assigned
 		}
 	}
-	g.counts.Store(&total)
+	if last := g.Counts(); last.Waiting != total.Waiting || last.Assigned != total.Assigned {
+		g.counts.Store(&total)
+	}
 }
 
 // sendOrder sends one order and queues its reply for the pool that has the order's fence.
--- a/tamarackpin/internal/node/connection.go
+++ b/tamarackpin/internal/node/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"syscall"
 
@@ -14,6 +15,9 @@
 
 // withConnection returns the context of the requests on c.
 func withConnection(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
--- a/tamarackpin/internal/node/connection_test.go
+++ b/tamarackpin/internal/node/connection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"testing"
 	"time"
@@ -48,7 +49,8 @@
 			}
 			defer server.Close()
 			ctx := withConnection(context.Background(), server)
-			if clientLeft(ctx) {
+			overTLS := withConnection(context.Background(), tls.Server(server, &tls.Config{}))
+			if clientLeft(ctx) || clientLeft(overTLS) {
 				t.Error("the client has left before it did")
 			}
 			if err := c.leave(client.(*net.TCPConn)); err != nil {
@@ -61,6 +63,9 @@
 			if left := clientLeft(ctx); left != c.left {
 				t.Errorf("the client has left: %v, want %v", left, c.left)
 			}
+			if left := clientLeft(overTLS); left != c.left {
+				t.Errorf("over TLS, the client has left: %v, want %v", left, c.left)
+			}
 		})
 	}
 }
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -35,7 +36,9 @@
 	"tamarackpin.example/tamarackpin/internal/group"
 	"tamarackpin.example/tamarackpin/internal/keeper"
 	"tamarackpin.example/tamarackpin/internal/metrics"
+	"tamarackpin.example/tamarackpin/internal/nodeoperator"
 	"tamarackpin.example/tamarackpin/internal/peer"
+	"tamarackpin.example/tamarackpin/internal/tlsfile"
 )
 
 // Adapters implement the protocols of callers, workers and operators.
@@ -55,17 +58,18 @@
 	Gate      *gate.Gate     // nil on a VM without callers
 	Keeper    *keeper.Keeper // nil on a VM that isn't a control VM
 
-	settings *settings.Node
-	log      *zap.Logger
-	adapters Adapters
-	mux      peer.Mux
-	mesh     *peer.Mesh
-	syncer   *fleet.Syncer
-	group    *group.Group
-	callers  *callerWatch // nil without callers
-	metrics  *metrics.Metrics
-	draining atomic.Bool // graceful shutdown has begun: not ready
-	refusing atomic.Bool // new jobs are rejected
+	settings  *settings.Node
+	startedAt time.Time
+	log       *zap.Logger
+	adapters  Adapters
+	mux       peer.Mux
+	mesh      *peer.Mesh
+	syncer    *fleet.Syncer
+	group     *group.Group
+	callers   *callerWatch // nil without callers
+	metrics   *metrics.Metrics
+	draining  atomic.Bool // graceful shutdown has begun: not ready
+	refusing  atomic.Bool // new jobs are rejected
 
 	ctx        context.Context // of the background goroutines
 	cancel     context.CancelFunc
@@ -81,7 +85,7 @@
 		VM: s.ID(), FailureDomain: s.FailureDomain, Incarnation: vm.Incarnation(now.UnixMilli()),
 		Callers: s.Callers != "", Control: s.Control != "", Processor: s.Processor,
 	}
-	n := &Node{settings: s, log: log, adapters: a, fatal: make(chan error, 1), Knowledge: fleet.NewKnowledge(self, log)}
+	n := &Node{settings: s, startedAt: now, log: log, adapters: a, fatal: make(chan error, 1), Knowledge: fleet.NewKnowledge(self, log)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.mesh = &peer.Mesh{Self: self.VM, Address: n.address, Recorder: &report.Recorder{}, FailuresToRedial: failuresToRedial, DialTimeout: dialTimeout, WriteTimeout: writeTimeout}
 	n.syncer = &fleet.Syncer{Knowledge: n.Knowledge, Mesh: n.mesh, Log: log}
@@ -101,6 +105,7 @@
 		}, &n.mux)
 		n.Gate = &gate.Gate{Group: n.group, Knowledge: n.Knowledge, Log: log, Mesh: n.mesh, OnAnswer: n.metrics.Job, CallerLeft: clientLeft, HoldCaller: n.callers.hold}
 		n.Gate.Register(&n.mux)
+		nodeoperator.ServeRunning(&n.mux, n.runningTasks)
 	}
 	if self.Control {
 		n.Keeper, err = keeper.New(keeper.Config{Settings: s, Knowledge: n.Knowledge, Mesh: n.mesh, Log: log}, &n.mux)
@@ -181,13 +186,24 @@
 	}
 	add("readiness", n.settings.Readiness, n.adapters.Readiness)
 	add("control", n.settings.Control, n.adapters.Control)
+	var operatorsTLS *tls.Config
+	if o := n.settings.Operators; o != nil {
+		var err error
+		if operatorsTLS, err = tlsfile.Server(o.TLS); err != nil {
+			return nil, errors.Wrap(err, "operators.tls")
+		}
+		add("operators", o.Address, (*Node).operatorsHandler)
+	}
 	for i := range services {
 		l, err := net.Listen("tcp", addresses[i])
 		if err != nil {
 			return nil, errors.Wrapf(err, "listening for %s", services[i].name)
 		}
+		event.Log(n.log, event.Listening, zap.String("for", services[i].name), zap.Stringer("address", l.Addr()))
+		if services[i].name == "operators" && operatorsTLS != nil {
+			l = tls.NewListener(l, operatorsTLS)
+		}
 		services[i].listener = l
-		event.Log(n.log, event.Listening, zap.String("for", services[i].name), zap.String("address", addresses[i]))
 	}
 	return services, nil
 }
--- a/tamarackpin/internal/operator/operator.go
+++ b/tamarackpin/internal/operator/operator.go
@@ -5,11 +5,8 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -69,29 +66,29 @@
 
 // handler serves the calls.
 type handler struct {
-	config     Config
-	credential [sha256.Size]byte
+	config Config
 }
 
 // Handler returns the handler of the operators' address and registers what it
 // serves to other entry VMs.
 func Handler(c Config, x *peer.Mux) http.Handler {
-	h := &handler{config: c, credential: sha256.Sum256([]byte(c.Settings.Operators.Credential))}
+	h := &handler{config: c}
+	guard := jsonhttp.NewCredential(c.Settings.Operators.Credential).Guard
 	peer.Handle(x, methodPart, func(context.Context, vm.ID, struct{}) (report.Part, error) { return c.Part(), nil })
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/table", h.guard(h.getTable))
-	mux.HandleFunc("POST /v1/table/changes", h.guard(h.postChange))
-	mux.HandleFunc("GET /v1/table/history", h.guard(h.getHistory))
-	mux.HandleFunc("GET /v1/report", h.guard(h.getReport))
-	mux.HandleFunc("GET /v1/status", h.guard(func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET /v1/table", guard(h.getTable))
+	mux.HandleFunc("POST /v1/table/changes", guard(h.postChange))
+	mux.HandleFunc("GET /v1/table/history", guard(h.getHistory))
+	mux.HandleFunc("GET /v1/report", guard(h.getReport))
+	mux.HandleFunc("GET /v1/status", guard(func(w http.ResponseWriter, r *http.Request) {
 		jsonhttp.Write(w, http.StatusOK, c.Status(r.Context()))
 	}))
-	mux.HandleFunc("GET /v1/targets", h.guard(h.getTargets))
-	mux.HandleFunc("POST /v1/drain", h.guard(func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /v1/targets", guard(h.getTargets))
+	mux.HandleFunc("POST /v1/drain", guard(func(w http.ResponseWriter, _ *http.Request) {
 		c.Drain()
 		jsonhttp.Write(w, http.StatusAccepted, draining{true})
 	}))
-	mux.HandleFunc("GET /metrics", h.guard(c.Metrics.ServeHTTP))
+	mux.HandleFunc("GET /metrics", guard(c.Metrics.ServeHTTP))
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { jsonhttp.Write(w, http.StatusOK, health{true}) })
 	mux.HandleFunc("GET /ready", h.getReady)
 	return jsonhttp.Fallback(mux)
@@ -105,21 +102,6 @@
 	OK bool `json:"ok"`
 }
 
-// guard lets only those pass who send the credential. The comparison takes the
-// same time whatever is sent.
-func (h *handler) guard(serve http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		sum := sha256.Sum256([]byte(token))
-		if !ok || subtle.ConstantTimeCompare(sum[:], h.credential[:]) != 1 {
-			w.Header().Set("WWW-Authenticate", "Bearer")
-			jsonhttp.Refuse(w, code.New(code.Unauthorized, "send the operators' credential as a bearer token"))
-			return
-		}
-		serve(w, r)
-	}
-}
-
 func (h *handler) getReady(w http.ResponseWriter, _ *http.Request) {
 	if !h.config.Ready() {
 		jsonhttp.Write(w, http.StatusServiceUnavailable, health{false})
