tamarackpinctl: evacuation begin, finish and status, and interference

Cause: the calls of a VM's operators' listener had no command.

Change: evacuation begin and finish send one order; a reply that is lost after the order was sent gives exit code 5, an address that is not reached 4. evacuation status names the entry VMs that did not answer beside the number of tasks. interference prints the fields of the pairs as they come.

--- a/tamarackpinctl/internal/cmd/cmd.go
+++ b/tamarackpinctl/internal/cmd/cmd.go
@@ -29,7 +29,7 @@
 
 // shared are the options of every subcommand.
 type shared struct {
-	Address        string `long:"address" short:"a" env:"TAMARACKPIN_ADDRESS" required:"true" value-name:"IP:PORT" description:"Operators' address of any entry VM."`
+	Address        string `long:"address" short:"a" env:"TAMARACKPIN_ADDRESS" required:"true" value-name:"IP:PORT" description:"Operators' address of any entry VM; of a control VM for evacuation begin and finish."`
 	Credential     string `long:"credential" env:"TAMARACKPIN_CREDENTIAL" description:"The operators' credential; better given in the environment or a file."`
 	CredentialFile string `long:"credential-file" value-name:"FILE" description:"File with the operators' credential."`
 	CAFile         string `long:"ca-file" value-name:"FILE" description:"PEM file with the authority of the entry VM's certificate; switches TLS on."`
@@ -46,6 +46,9 @@
 	Status  statusCommand  `command:"status" description:"Print the state of an entry VM and of what it knows."`
 	Targets targetsCommand `command:"targets" description:"Print the live targets that an entry VM knows."`
 	Drain   drainCommand   `command:"drain" description:"Shut an entry VM down gracefully."`
+
+	Evacuation   evacuationCommand   `command:"evacuation" description:"Evacuate a failure domain of workers, or return it to service."`
+	Interference interferenceCommand `command:"interference" description:"Print the pairs of rows that slow each other down on a worker."`
 }
 
 // Main runs the command line and returns the exit code.
@@ -54,8 +57,9 @@
 	o.Shared.stdout = stdout
 	o.Table.Get.shared, o.Table.Put.shared, o.Table.History.shared = &o.Shared, &o.Shared, &o.Shared
 	o.Report.shared, o.Status.shared, o.Targets.shared, o.Drain.shared = &o.Shared, &o.Shared, &o.Shared, &o.Shared
+	o.Evacuation.Begin.shared, o.Evacuation.Finish.shared, o.Evacuation.Status.shared, o.Interference.shared = &o.Shared, &o.Shared, &o.Shared, &o.Shared
 	p := flags.NewNamedParser("tamarackpinctl", flags.HelpFlag|flags.PassDoubleDash)
-	p.LongDescription = "The operators' command for tamarackpin. Exit codes: 0 done, 1 fault, 2 wrong arguments or file, 3 refused, 4 entry VM not reached, 5 outcome unsure (send the same change id again)."
+	p.LongDescription = "The operators' command for tamarackpin. Exit codes: 0 done, 1 fault, 2 wrong arguments or file, 3 refused, 4 entry VM not reached, 5 outcome unsure (send the same change id, or the order, again)."
 	if _, err := p.AddGroup("Options", "", &o); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitFault
@@ -79,7 +83,7 @@
 	switch {
 	case errors.As(err, &usage) || errors.Is(err, errUsage):
 		return exitUsage
-	case errors.As(err, &refusal) && refusal.Outcome == code.MayHaveRun:
+	case errors.As(err, &refusal) && refusal.Outcome == code.MayHaveRun, errors.Is(err, operator.ErrUnsure):
 		return exitUnsure
 	case errors.As(err, &refusal):
 		return exitRefused
--- a/tamarackpinctl/internal/cmd/cmd_test.go
+++ b/tamarackpinctl/internal/cmd/cmd_test.go
@@ -75,6 +75,9 @@
 		if !ok || r.Header.Get("Authorization") != "Bearer secret" {
 			status, body = "401", `{"code":2008,"name":"unauthorized","outcome":"not_run","message":"no"}`
 		}
+		if status == "cut" {
+			panic(http.ErrAbortHandler) // closes the connection without a reply
+		}
 		code := 0
 		_, _ = fmt.Sscan(status, &code)
 		w.WriteHeader(code)
@@ -86,5 +89,17 @@
 	var stdout, stderr bytes.Buffer
 	code := Main(all, &stdout, &stderr)
 	fmt.Fprintf(&out, "%s%sexit %d\n", stdout.String(), stderr.String(), code)
-	return strings.ReplaceAll(drawn.ReplaceAllString(out.String(), "ctl-DRAWN"), folder, "$FOLDER")
+	text := strings.ReplaceAll(drawn.ReplaceAllString(out.String(), "ctl-DRAWN"), folder, "$FOLDER")
+	return strings.ReplaceAll(text, s.URL, "http://ADDRESS")
+}
+
+// TestOrderThatWasNotSent guards against an order that is called unsure, or done, although no VM was reached.
+func TestOrderThatWasNotSent(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(s.URL, "http://")
+	s.Close()
+	var stdout, stderr bytes.Buffer
+	if code := Main([]string{"--address", address, "--credential", "secret", "evacuation", "begin", "b"}, &stdout, &stderr); code != exitUnreachable {
+		t.Errorf("exit %d, want %d: %s%s", code, exitUnreachable, &stdout, &stderr)
+	}
 }
