tamarackpinctl table check, and put runs it first

Cause: an operator learned of faults in a table file one at a time, partly only from the server, and of limits that contradict each other not at all.

Change: table.CheckFile finds all faults of a file with line and column, severity and a stable code; the types are in package check. It replaces ReadCSV, which only table put used. table check prints the findings and, with an address, the differences from the version in force; table put refuses a file with errors before it sends anything. The address is no longer a required option of the parser, as table check works without; every other command still refuses to run without one.

Tests: TestCSV becomes TestFiles, and the fuzz target FuzzCheckFile. They replace the tests of ReadCSV: the same archives, with positions and all findings in place of the first message. In table_put_faults the line numbers changed from 2 to 3: the first line of the file, with the version, was not counted.

--- a/internal/table/csv.go
+++ b/internal/table/csv.go
@@ -36,8 +36,10 @@
 		name,
 		func(r Row) string { return strconv.Itoa(*field(&r)) },
 		func(r *Row, s string) (err error) {
-			*field(r), err = strconv.Atoi(s)
-			return errors.Wrap(err, "want a whole number")
+			if *field(r), err = strconv.Atoi(s); err != nil {
+				return errors.New("want a whole number")
+			}
+			return nil
 		},
 	}
 }
@@ -51,8 +53,10 @@
 }
 
 func setUrgent(r *Row, s string) (err error) {
-	r.Urgent, err = strconv.ParseBool(strings.ToLower(s))
-	return errors.Wrap(err, "want true or false")
+	if r.Urgent, err = strconv.ParseBool(strings.ToLower(s)); err != nil {
+		return errors.New("want true or false")
+	}
+	return nil
 }
 
 // Columns returns the names of the columns in their order.
@@ -82,56 +86,3 @@
 	cw.Flush()
 	return errors.Wrap(cw.Error(), "writing the table")
 }
-
-// ReadCSV reads what WriteCSV writes. The first line names the columns, in any
-// order. The error names every fault with its line and column.
-func ReadCSV(r io.Reader) ([]Row, error) {
-	lines, err := csv.NewReader(r).ReadAll()
-	if err != nil {
-		return nil, errors.Wrap(err, "reading the table")
-	}
-	if len(lines) == 0 {
-		return nil, errors.New("the table is empty: want a first line with the column names")
-	}
-	order, err := columnOrder(lines[0])
-	if err != nil {
-		return nil, err
-	}
-	var faults error
-	rows := make([]Row, 0, len(lines)-1)
-	for n, line := range lines[1:] {
-		var row Row
-		for i, text := range line {
-			if err := order[i].set(&row, strings.TrimSpace(text)); err != nil {
-				faults = errors.Join(faults, errors.Wrapf(err, "line %d, column %s, %.80q", n+2, order[i].name, text))
-			}
-		}
-		rows = append(rows, row)
-	}
-	if faults != nil {
-		return nil, faults
-	}
-	return rows, nil
-}
-
-func columnOrder(names []string) ([]column, error) {
-	byName := make(map[string]column, len(columns))
-	for _, c := range columns {
-		byName[c.name] = c
-	}
-	order := make([]column, len(names))
-	for i, name := range names {
-		c, ok := byName[strings.TrimSpace(name)]
-		if !ok {
-			return nil, errors.Newf("line 1: column %.80q is unknown or stands twice: want %s", name, strings.Join(Columns(), ", "))
-		}
-		delete(byName, c.name)
-		order[i] = c
-	}
-	for _, c := range columns {
-		if _, missing := byName[c.name]; missing {
-			return nil, errors.Newf("line 1: column %s is missing: want %s", c.name, strings.Join(Columns(), ", "))
-		}
-	}
-	return order, nil
-}
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tamarackpin.example/internal/party"
+	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/internal/wire"
 )
 
@@ -34,9 +35,28 @@
 
 // Check returns an error for a row that is out of bounds.
 func (r Row) Check() error {
-	if err := r.Key.Check(); err != nil {
-		return err
+	if faults := r.faults(); len(faults) > 0 {
+		return faults[0].err
 	}
+	return nil
+}
+
+// fault is a value of a row that is out of bounds.
+type fault struct {
+	column string
+	err    error
+}
+
+// faults returns every value that is out of bounds, in the order of the columns.
+func (r Row) faults() []fault {
+	var faults []fault
+	add := func(column string, err error) {
+		if err != nil {
+			faults = append(faults, fault{column, err})
+		}
+	}
+	add("party", errors.Wrap(vm.CheckName(string(r.Party)), "party"))
+	add("kind", errors.Wrap(vm.CheckName(string(r.Kind)), "kind"))
 	for _, f := range []struct {
 		name       string
 		value      int
@@ -48,16 +68,16 @@
 		{"rate_per_second", r.RatePerSecond, 0, MaxLimit},
 	} {
 		if f.value < f.least || f.value > f.top {
-			return errors.Newf("%s %d: want %d to %d", f.name, f.value, f.least, f.top)
+			add(f.name, errors.Newf("%s %d: want %d to %d", f.name, f.value, f.least, f.top))
 		}
 	}
 	if r.Deadline <= 0 || r.Deadline > MaxDeadline {
-		return errors.Newf("deadline %s: want more than 0s, up to %s", r.Deadline, MaxDeadline)
+		add("deadline", errors.Newf("deadline %s: want more than 0s, up to %s", r.Deadline, MaxDeadline))
 	}
 	if r.TimeLimit <= 0 || r.TimeLimit > MaxDeadline {
-		return errors.Newf("time_limit %s: want more than 0s, up to %s", r.TimeLimit, MaxDeadline)
+		add("time_limit", errors.Newf("time_limit %s: want more than 0s, up to %s", r.TimeLimit, MaxDeadline))
 	}
-	return nil
+	return faults
 }
 
 // Share returns the part of a fleet-wide limit that the entry VM with this
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -1,17 +1,13 @@
 package table
 
 import (
-	"bytes"
 	"encoding/json"
 	"flag"
 	"fmt"
-	"path/filepath"
 	"reflect"
 	"slices"
-	"strings"
 	"testing"
 
-	"golang.org/x/tools/txtar"
 	"pgregory.net/rapid"
 
 	"tamarackpin.example/internal/code"
@@ -30,37 +26,6 @@
 	}
 }
 
-// TestCSV runs the archives in testdata: a table file and what is read of it.
-func TestCSV(t *testing.T) {
-	archives, err := filepath.Glob("testdata/*.txtar")
-	if err != nil || len(archives) == 0 {
-		t.Fatalf("%d archives: %v", len(archives), err)
-	}
-	for _, path := range archives {
-		t.Run(strings.TrimSuffix(filepath.Base(path), ".txtar"), func(t *testing.T) {
-			a, err := txtar.ParseFile(path)
-			if err != nil {
-				t.Fatal(err)
-			}
-			var got bytes.Buffer
-			rows, err := ReadCSV(bytes.NewReader(a.Files[0].Data))
-			if err == nil {
-				_, err = NewSnapshot(1, rows)
-			}
-			if err == nil {
-				err = WriteCSV(&got, rows)
-			}
-			if err != nil {
-				got.Reset()
-				fmt.Fprintln(&got, err)
-			}
-			if want := string(a.Files[1].Data); got.String() != want {
-				t.Errorf("got:\n%swant:\n%s", got.String(), want)
-			}
-		})
-	}
-}
-
 // naive is the table as its contract reads, without any cleverness.
 type naive struct {
 	version Version
@@ -219,21 +184,3 @@
 		t.Errorf("rows are %+v", got)
 	}
 }
-
-func FuzzReadCSV(f *testing.F) {
-	f.Add([]byte(strings.Join(Columns(), ",") + "\np,k,1,true,1,1,0,1s,1s\n"))
-	f.Fuzz(func(t *testing.T, b []byte) {
-		rows, err := ReadCSV(bytes.NewReader(b))
-		if err != nil {
-			return
-		}
-		var out bytes.Buffer
-		if err := WriteCSV(&out, rows); err != nil {
-			t.Fatal(err)
-		}
-		back, err := ReadCSV(&out)
-		if err != nil || len(back) != len(rows) {
-			t.Fatalf("written and read again: %d rows of %d, %v", len(back), len(rows), err)
-		}
-	})
-}
--- a/tamarackpinctl/internal/cmd/cmd.go
+++ b/tamarackpinctl/internal/cmd/cmd.go
@@ -29,13 +29,13 @@
 
 // shared are the options of every subcommand.
 type shared struct {
-	Address        string `long:"address" short:"a" env:"TAMARACKPIN_ADDRESS" required:"true" value-name:"IP:PORT" description:"Operators' address of any entry VM; of a control VM for evacuation begin and finish."`
+	Address        string `long:"address" short:"a" env:"TAMARACKPIN_ADDRESS" value-name:"IP:PORT" description:"Operators' address of any entry VM; of a control VM for evacuation begin and finish. Needed by every command but table check."`
 	Credential     string `long:"credential" env:"TAMARACKPIN_CREDENTIAL" description:"The operators' credential; better given in the environment or a file."`
 	CredentialFile string `long:"credential-file" value-name:"FILE" description:"File with the operators' credential."`
 	CAFile         string `long:"ca-file" value-name:"FILE" description:"PEM file with the authority of the entry VM's certificate; switches TLS on."`
 	JSON           bool   `long:"json" description:"Print JSON for machines in place of aligned text."`
 
-	stdout io.Writer
+	stdout, stderr io.Writer
 }
 
 // options are the subcommands.
@@ -54,8 +54,8 @@
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var o options
-	o.Shared.stdout = stdout
-	o.Table.Get.shared, o.Table.Put.shared, o.Table.History.shared = &o.Shared, &o.Shared, &o.Shared
+	o.Shared.stdout, o.Shared.stderr = stdout, stderr
+	o.Table.Get.shared, o.Table.Check.shared, o.Table.Put.shared, o.Table.History.shared = &o.Shared, &o.Shared, &o.Shared, &o.Shared
 	o.Report.shared, o.Status.shared, o.Targets.shared, o.Drain.shared = &o.Shared, &o.Shared, &o.Shared, &o.Shared
 	o.Evacuation.Begin.shared, o.Evacuation.Finish.shared, o.Evacuation.Status.shared, o.Interference.shared = &o.Shared, &o.Shared, &o.Shared, &o.Shared
 	p := flags.NewNamedParser("tamarackpinctl", flags.HelpFlag|flags.PassDoubleDash)
@@ -97,6 +97,9 @@
 var errUsage = errors.New("wrong arguments")
 
 func (s *shared) client() (*operator.Client, error) {
+	if s.Address == "" {
+		return nil, errors.Mark(errors.New("no address: give --address or TAMARACKPIN_ADDRESS"), errUsage)
+	}
 	credential := s.Credential
 	if s.CredentialFile != "" {
 		b, err := os.ReadFile(s.CredentialFile)
--- a/tamarackpinctl/internal/cmd/cmd_test.go
+++ b/tamarackpinctl/internal/cmd/cmd_test.go
@@ -19,8 +19,8 @@
 var drawn = regexp.MustCompile(`ctl-[a-z0-9]{20,}`)
 
 // TestCommands runs the archives in testdata. Each has the arguments, what the
-// entry VM answers to each call, and what must be sent and printed. UPDATE=1
-// writes the last two anew.
+// entry VM answers to each call, and what must be sent and printed. With a file
+// "offline" no address is given. UPDATE=1 writes the last two anew.
 func TestCommands(t *testing.T) {
 	archives, err := filepath.Glob("testdata/*.txtar")
 	if err != nil || len(archives) == 0 {
@@ -35,6 +35,7 @@
 			replies := make(map[string]string)
 			folder := t.TempDir()
 			var args, want string
+			offline := false
 			for _, f := range a.Files {
 				switch kind, name, _ := strings.Cut(f.Name, " "); kind {
 				case "args":
@@ -45,11 +46,13 @@
 					if err := os.WriteFile(filepath.Join(folder, name), f.Data, 0o600); err != nil {
 						t.Fatal(err)
 					}
+				case "offline":
+					offline = true
 				case "want":
 					want = string(f.Data)
 				}
 			}
-			got := runCommand(args, folder, replies)
+			got := runCommand(args, folder, offline, replies)
 			if got == want {
 				return
 			}
@@ -65,7 +68,7 @@
 }
 
 // runCommand returns what was sent and printed, and the exit code.
-func runCommand(args, folder string, replies map[string]string) string {
+func runCommand(args, folder string, offline bool, replies map[string]string) string {
 	var out bytes.Buffer
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b, _ := io.ReadAll(r.Body)
@@ -85,7 +88,9 @@
 	}))
 	defer s.Close()
 	all := strings.Fields(strings.ReplaceAll(args, "$FOLDER", folder))
-	all = append([]string{"--address", strings.TrimPrefix(s.URL, "http://")}, all...)
+	if !offline {
+		all = append([]string{"--address", strings.TrimPrefix(s.URL, "http://")}, all...)
+	}
 	var stdout, stderr bytes.Buffer
 	code := Main(all, &stdout, &stderr)
 	fmt.Fprintf(&out, "%s%sexit %d\n", stdout.String(), stderr.String(), code)
--- a/tamarackpinctl/internal/cmd/table.go
+++ b/tamarackpinctl/internal/cmd/table.go
@@ -4,19 +4,21 @@
 	"context"
 	"crypto/rand"
 	"fmt"
-	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/cockroachdb/errors"
 
+	"tamarackpin.example/internal/check"
 	"tamarackpin.example/internal/table"
 )
 
 // tableCommand holds the subcommands about the table.
 type tableCommand struct {
 	Get     tableGetCommand     `command:"get" description:"Print the table as CSV."`
-	Put     tablePutCommand     `command:"put" description:"Make the table what a CSV file says."`
+	Check   tableCheckCommand   `command:"check" description:"Check a CSV file before it is put. With an address, also print what it would change."`
+	Put     tablePutCommand     `command:"put" description:"Make the table what a CSV file says. A file with errors is not sent."`
 	History tableHistoryCommand `command:"history" description:"Print the newest accepted changes."`
 }
 
@@ -39,16 +41,12 @@
 	if err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(c.stdout, "%s%d\n", versionLine, t.Version()); err != nil {
+	if _, err := fmt.Fprintf(c.stdout, "%s%d\n", table.VersionLine, t.Version()); err != nil {
 		return errors.Wrap(err, "printing")
 	}
 	return table.WriteCSV(c.stdout, t.Rows())
 }
 
-// versionLine begins the first line of a table file: the version that it was
-// read at.
-const versionLine = "# version "
-
 // tablePutCommand changes the table.
 type tablePutCommand struct {
 	*shared  `no-flag:"true"`
@@ -62,7 +60,7 @@
 func (c *tablePutCommand) Execute([]string) error {
 	rows, basedOn, err := c.read()
 	if err != nil {
-		return errors.Mark(err, errUsage)
+		return err
 	}
 	client, err := c.client()
 	if err != nil {
@@ -97,28 +95,27 @@
 	return errors.Wrap(err, "printing")
 }
 
-// read returns the rows of the file and the version that they are based on.
+// read returns the rows of the file and the version that they are based on. It prints what the check of the file found, and returns
+// an error for a file with errors.
 func (c *tablePutCommand) read() ([]table.Row, table.Version, error) {
-	b, err := os.ReadFile(c.File)
+	f, err := readTable(c.File)
 	if err != nil {
-		return nil, 0, errors.Wrap(err, "reading the table file")
-	}
-	text := string(b)
-	basedOn := c.BasedOn
-	if rest, ok := strings.CutPrefix(text, versionLine); ok {
-		first, body, _ := strings.Cut(rest, "\n")
-		text = body
-		if basedOn < 0 {
-			if _, err := fmt.Sscan(first, &basedOn); err != nil {
-				return nil, 0, errors.Newf("first line %q: want a version", versionLine+first)
-			}
-		}
-	}
-	if basedOn < 0 {
-		return nil, 0, errors.New("the file does not say which version it is based on: give --based-on")
-	}
-	rows, err := table.ReadCSV(strings.NewReader(text))
-	return rows, table.Version(basedOn), err
+		return nil, 0, err
+	}
+	if c.BasedOn >= 0 { // the version need not stand in the file
+		f.BasedOn, f.Based = table.Version(c.BasedOn), true
+		f.Findings = slices.DeleteFunc(f.Findings, func(f check.Finding) bool { return f.Code == "no_version" })
+	}
+	if err := printFindings(c.stderr, c.File, f.Findings); err != nil {
+		return nil, 0, err
+	}
+	if err := newChecked(c.File, len(f.Rows), f.Findings).err(); err != nil {
+		return nil, 0, errors.Wrap(err, "nothing was sent")
+	}
+	if !f.Based {
+		return nil, 0, errors.Mark(errors.New("the file does not say which version it is based on: give --based-on"), errUsage)
+	}
+	return f.Rows, f.BasedOn, nil
 }
 
 // tableHistoryCommand prints accepted changes.
