--- a/internal/check/finding.go
+++ b/internal/check/finding.go
@@ -26,6 +26,11 @@
 	Column int `json:"column"`
 }
 
+// Before reports whether p precedes o.
+func (p Position) Before(o Position) bool {
+	return p.Line < o.Line || p.Line == o.Line && p.Column < o.Column
+}
+
 // Finding is one thing that a check found.
 type Finding struct {
 	Severity Severity `json:"severity"`
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -103,17 +102,8 @@
 }
 
 func (r Row) check(services map[worker.Service]bool) error {
-	switch {
-	case r.Name == "" || r.Host == "":
-		return errors.New("no name or no host")
-	case !strings.HasPrefix(r.Prefix, "/"):
-		return errors.Newf("prefix %q does not begin with a slash", r.Prefix)
-	case !services[r.Service]:
-		return errors.Newf("service %q is not in the table", r.Service)
-	case r.Timeout <= 0:
-		return errors.Newf("timeout %s: want more than 0", r.Timeout)
-	case r.Stretch < 0 || r.Latency < 0 || r.MaxAttempts < 0 || r.Priority < 0:
-		return errors.New("a number is negative")
+	if faults := r.faults(services); len(faults) > 0 {
+		return faults[0].err
 	}
 	return nil
 }
--- a/tamarackpinctl/internal/cmd/table_check.go
+++ b/tamarackpinctl/internal/cmd/table_check.go
@@ -9,12 +9,14 @@
 	"github.com/cockroachdb/errors"
 
 	"tamarackpin.example/internal/check"
+	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/table"
 )
 
 // tableCheckCommand checks a table file.
 type tableCheckCommand struct {
 	*shared `no-flag:"true"`
+	Routes  bool `long:"routes" description:"FILE is the table of the platform as JSON of package routes. It is not compared with the one in force."`
 	Args    struct {
 		File string `positional-arg-name:"FILE" description:"CSV file as put takes it."`
 	} `positional-args:"true" required:"true"`
@@ -43,6 +45,9 @@
 
 // Execute prints the findings, and the differences from the table in force if an address is given.
 func (c *tableCheckCommand) Execute([]string) error {
+	if c.Routes {
+		return c.checkRoutes()
+	}
 	f, err := readTable(c.Args.File)
 	if err != nil {
 		return err
@@ -61,6 +66,24 @@
 	return errors.CombineErrors(compareErr, result.err())
 }
 
+// checkRoutes checks a table of the platform.
+func (c *tableCheckCommand) checkRoutes() error {
+	b, err := readFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	f := routes.CheckFile(b)
+	rows := 0
+	if f.Table != nil {
+		rows = len(f.Table.Rows)
+	}
+	result := newChecked(c.Args.File, rows, f.Findings)
+	if err := c.printChecked(result); err != nil {
+		return err
+	}
+	return result.err()
+}
+
 // compare adds the differences from the table in force.
 func (c *tableCheckCommand) compare(f table.File, result *checked) error {
 	client, err := c.client()
@@ -148,9 +171,15 @@
 
 // readTable reads and checks a table file.
 func readTable(file string) (table.File, error) {
-	b, err := os.ReadFile(file)
+	b, err := readFile(file)
 	if err != nil {
-		return table.File{}, errors.Mark(errors.Wrap(err, "reading the table file"), errUsage)
+		return table.File{}, err
 	}
 	return table.CheckFile(string(b)), nil
 }
+
+// readFile reads a table file.
+func readFile(file string) ([]byte, error) {
+	b, err := os.ReadFile(file)
+	return b, errors.Mark(errors.Wrap(err, "reading the table file"), errUsage)
+}
