--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -12,7 +12,7 @@
 type Code int
 
 // The codes: 1xxx done, 2xxx bad input, 3xxx refused, 4xxx failed, 5xxx
-// operators' table, 9xxx faults of the system itself.
+// operators' table and orders, 9xxx faults of the system itself.
 const (
 	OK                Code = 1000
 	BadJSON           Code = 2001
@@ -53,6 +53,7 @@
 	TableUnavailable     Code = 5003
 	TableOutcomeUnsure   Code = 5004
 	QuorumOutdated       Code = 5005
+	AskControlVM         Code = 5006
 	Internal             Code = 9001
 )
 
@@ -104,6 +105,7 @@
 	{TableUnavailable, "table_unavailable", http.StatusServiceUnavailable, NotRun, "The change was not applied: the holder of the table cannot be reached."},
 	{TableOutcomeUnsure, "table_outcome_unsure", http.StatusServiceUnavailable, MayHaveRun, "The answer about the change was lost; send it again under the same change id."},
 	{QuorumOutdated, "quorum_outdated", http.StatusServiceUnavailable, NotRun, "The order was not applied: a member of the control quorum runs an earlier build, which would lose it."},
+	{AskControlVM, "ask_control_vm", http.StatusMisdirectedRequest, NotRun, "This VM takes no orders of operators: send the order to the operators' address of a control VM."},
 	{Internal, "internal", http.StatusInternalServerError, MayHaveRun, "A fault of the system; the log event of the same time tells more."},
 }
 
