pool: observe which rows slow each other, and place them apart

Cause: two tasks that slow each other down share a worker as often as any.

Change: handleEnd passes the run's time against the estimate, with the rows that ran beside it, to the learner. Among workers that are equal in meeting the objective and in health, selectWorker prefers the one where least time is lost. Forecasts count the slowdown, and the estimator gets times without it. The tasks of a job count as one run, since their times are off alike. Config has the mode; the zero mode is off.

--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -95,9 +95,15 @@
 	Worker   worker.ID
 	Took     time.Duration
 	Expected time.Duration // for the row and the kind of the worker, without the worker's own factor
-	Beside   []Exposure
+	// Tasks is the number of tasks of the job; 0 stands for 1. Their declared times and their work are off in
+	// the same direction, so that together they count as one run.
+	Tasks  int
+	Beside []Exposure
 }
 
+// weight returns how many independent runs o counts for.
+func (o Observation) weight() float64 { return 1 / float64(max(1, o.Tasks)) }
+
 // valid reports whether o can be learned from.
 func (o Observation) valid() bool {
 	if o.Took <= 0 || o.Expected <= 0 || len(o.Beside) > maxPartners {
--- a/internal/interference/learner.go
+++ b/internal/interference/learner.go
@@ -14,10 +14,11 @@
 type Learner struct {
 	rows        map[routes.RowName]*rowState
 	workers     map[worker.ID]*offset
-	nextSource  int     // of the next new worker
-	outliers    float64 // share of the last runs, on all workers, that deviate by maxResidual or more
-	pairs       int     // number of partners of all rows
-	confident   int     // number of those that are confident
+	nextSource  int                    // of the next new worker
+	outliers    float64                // share of the last runs, on all workers, that deviate by maxResidual or more
+	pairs       int                    // number of partners of all rows
+	confident   int                    // number of those that are confident
+	involved    map[routes.RowName]int // number of confident pairs that a row is part of
 	expiredAt   time.Time
 	summarizeAt time.Time // start of the present summary
 	changes     []Change
@@ -54,7 +55,7 @@
 	}
 	s.decay(now)
 	l.arrange(now, o.Row, s, o.Beside)
-	weight := s.acceptance(w.source, l.at)
+	weight := o.weight() * s.acceptance(w.source, l.at)
 	predicted := s.predict(l.x)
 	outlier := 0.0
 	if math.Abs(ratio-w.value-predicted) >= maxResidual {
@@ -74,17 +75,21 @@
 // solve computes the effects on a row anew.
 func (l *Learner) solve(now time.Time, row routes.RowName, s *rowState) {
 	for _, c := range s.solve(now, row) {
-		if c.Dropped {
-			l.confident--
-		} else {
-			l.confident++
-		}
 		l.record(c)
 	}
 }
 
-// record keeps a change for TakeChanges.
+// record counts a change and keeps it for TakeChanges.
 func (l *Learner) record(c Change) {
+	if c.Dropped {
+		l.confident--
+		l.involve(c.Row, -1)
+		l.involve(c.Beside, -1)
+	} else {
+		l.confident++
+		l.involve(c.Row, 1)
+		l.involve(c.Beside, 1)
+	}
 	if len(l.changes) == maxChanges {
 		l.omitted++
 		return
@@ -92,6 +97,16 @@
 	l.changes = append(l.changes, c)
 }
 
+// involve changes the number of confident pairs that a row is part of.
+func (l *Learner) involve(row routes.RowName, by int) {
+	if l.involved == nil {
+		l.involved = make(map[routes.RowName]int)
+	}
+	if l.involved[row] += by; l.involved[row] == 0 {
+		delete(l.involved, row)
+	}
+}
+
 // maxChanges bounds the changes that are kept for the log.
 const maxChanges = 32
 
@@ -149,7 +164,6 @@
 // drop removes a pair.
 func (l *Learner) drop(row routes.RowName, s *rowState, i int) {
 	if p := &s.partners[i]; p.confident {
-		l.confident--
 		p.confident = false
 		l.record(Change{p.pair(row), true})
 	}
--- a/internal/interference/row.go
+++ b/internal/interference/row.go
@@ -217,12 +217,15 @@
 		}
 	}
 	out := Pair{
-		Row: row, Beside: p.row, Factor: math.Exp(p.effect), Confident: p.confident,
-		Observations: p.observations, Workers: workers, Low: math.Exp(-maxEffect), High: math.Exp(maxEffect),
+		Row: row, Beside: p.row, Factor: round(math.Exp(p.effect)), Confident: p.confident,
+		Observations: p.observations, Workers: workers, Low: round(math.Exp(-maxEffect)), High: round(math.Exp(maxEffect)),
 	}
 	if p.deviation > 0 && !math.IsInf(p.deviation, 1) {
-		out.Confidence = 0.5 * math.Erfc(-p.effect/p.deviation/math.Sqrt2)
-		out.Low, out.High = math.Exp(clamp(p.effect-3*p.deviation, maxEffect)), math.Exp(clamp(p.effect+3*p.deviation, maxEffect))
+		out.Confidence = round(0.5 * math.Erfc(-p.effect/p.deviation/math.Sqrt2))
+		out.Low, out.High = round(math.Exp(clamp(p.effect-3*p.deviation, maxEffect))), round(math.Exp(clamp(p.effect+3*p.deviation, maxEffect)))
 	}
 	return out
 }
+
+// round rounds to four decimals, for logs and replies.
+func round(x float64) float64 { return math.Round(x*1e4) / 1e4 }
--- a/internal/interference/tracker.go
+++ b/internal/interference/tracker.go
@@ -56,7 +56,8 @@
 func (t *Tracker) Len() int { return len(t.runs) }
 
 // Retain drops the tasks for which keep returns false. It is not known when they ended.
-func (t *Tracker) Retain(keep func(job.Task) bool) {
+func (t *Tracker) Retain(now time.Time, keep func(job.Task) bool) {
+	t.accrue(now)
 	before := len(t.runs)
 	t.runs = slices.DeleteFunc(t.runs, func(r tracked) bool { return !keep(r.task) })
 	if len(t.runs) != before {
--- a/internal/interference/use.go
+++ b/internal/interference/use.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -12,6 +13,9 @@
 // Known returns the number of confident pairs.
 func (l *Learner) Known() int { return l.confident }
 
+// Involves reports whether a row slows another or is slowed, in any confident pair.
+func (l *Learner) Involves(row routes.RowName) bool { return l.involved[row] > 0 }
+
 // Factor returns how much longer a run of a row takes beside tasks of the given rows, each listed
 // once per task, and whether any confident pair is among them. Without one the factor is 1.
 func (l *Learner) Factor(now time.Time, row routes.RowName, beside []routes.RowName) (factor float64, confident bool) {
@@ -55,6 +59,20 @@
 	return list
 }
 
+// Merge sorts pairs of several Learners as [Learner.Pairs] does. Of equal ones it keeps that with the most
+// observations.
+func Merge(pairs []Pair) []Pair {
+	type key struct{ row, beside routes.RowName }
+	best := make(map[key]Pair, len(pairs))
+	for _, p := range pairs {
+		k := key{p.Row, p.Beside}
+		if known, ok := best[k]; !ok || p.Observations > known.Observations {
+			best[k] = p
+		}
+	}
+	return slices.SortedFunc(maps.Values(best), Pair.compare)
+}
+
 func (p Pair) compare(q Pair) int {
 	if p.Confident != q.Confident {
 		if p.Confident {
--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -79,7 +79,7 @@
 			if slots--; slots < 0 {
 				break
 			}
-			took := time.Duration(float64(p.estimator.Work(t.job.Row, t.step)) * factor)
+			took := time.Duration(float64(p.estimator.Work(t.job.Row, t.step)) * factor * p.slowdownOn(now, w, t))
 			f = append(f, slot{later(now, t.orderedAt.Add(took)), factor})
 		}
 		for range min(max(0, slots), job.MaxTasks) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -35,6 +35,7 @@
 	"time"
 
 	"tamarackpin.example/internal/crash"
+	"tamarackpin.example/internal/interference"
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/latestart"
 	"tamarackpin.example/internal/lead"
@@ -68,6 +69,8 @@
 	// GateContact returns the contact with the gates that wait for an admission. Nil stands for uninterrupted
 	// contact.
 	GateContact func(now time.Time, a Admission) GateContact
+	// Interference says what is done about rows that slow each other down; the zero Mode is off.
+	Interference interference.Mode
 }
 
 // Bounds of leases, orders and backoff.
@@ -115,6 +118,8 @@
 	lateStarts *latestart.Log
 	unclaimed  *UnclaimedJobs
 
+	interference interference.Learner
+
 	judgedVersion uint64 // of crashes, when giveUpJobs last ran
 
 	// runsInherited reports that only workers that are known have runs of earlier dispatchers, see InheritRuns.
@@ -140,6 +145,9 @@
 	// RefusedOrders counts the orders that workers refused, or that were never sent;
 	// refused jobs are not counted.
 	RefusedOrders map[Refusal]int
+	// PairsKnown is the present number of pairs of rows known to slow each other down, and PlacedApart counts the tasks
+	// placed on another worker because of one.
+	PairsKnown, PlacedApart int
 }
 
 // New returns a Pool that takes over the group at time now, without jobs or workers.
@@ -247,6 +255,7 @@
 		if gone {
 			delete(p.workers, w.Worker)
 			p.estimator.ForgetWorker(w.Worker)
+			p.interference.ForgetWorker(w.Worker)
 		}
 		return gone
 	})
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -201,6 +201,7 @@
 	j := t.job
 	orderedAt := t.orderedAt
 	wasRunning := t.phase == running || t.phase == starting
+	beside, besideKnown := p.trackEnd(now, w, t)
 	t.release()
 	switch {
 	case e.Kind == EndedDone:
@@ -210,7 +211,8 @@
 		t.doneOn, t.doneOnIncarnation, t.endNumber = w.Worker, w.Incarnation, e.Number
 		// An adopted run (orderedAt is the takeover) has no known start to measure from.
 		if wasRunning && !t.ackedAt.IsZero() && orderedAt != p.startedAt {
-			p.estimator.Observe(j.Row, t.step, w.Kind, w.Worker, now.Sub(orderedAt))
+			alone := p.observeRun(now, w, t, now.Sub(orderedAt), beside, besideKnown)
+			p.estimator.Observe(j.Row, t.step, w.Kind, w.Worker, alone)
 		}
 		if !j.closed && j.done() {
 			p.answer(now, j, Answer{Outcome: job.Completed})
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -150,6 +150,7 @@
 	bestMeets := false
 	suspect := p.isSuspect(t)
 	isBound := len(p.lateStarts.Bindings(now, t.name)) > 0 // to the worker of its late start
+	apart := p.chooseApart(now, t, work, suspect)
 	for _, w := range candidates {
 		if w.reserved || !p.lateStarts.Permits(now, t.name, w.Worker, w.Incarnation) || !fits(w, t, isBound) || t.job.Unguarded && !w.Usable(now) {
 			continue
@@ -158,6 +159,7 @@
 		took := time.Duration(float64(work) * factor)
 		meets := t.job.meetsObjective(now, work, factor)
 		better := best == nil || p.better(w, took, meets, best, bestTime, bestMeets)
+		better = apart.adjust(w, best, meets == bestMeets && (best == nil || w.healthy() == best.healthy()), better)
 		if best != nil && suspect && len(w.tasks) != len(best.tasks) {
 			better = len(w.tasks) < len(best.tasks) // they may be lost with the worker
 		}
@@ -168,6 +170,7 @@
 	if best != nil && !bestMeets && !isBound && p.worthWaiting(now, t, work, bestTime) {
 		return nil
 	}
+	apart.count()
 	return best
 }
 
@@ -219,7 +222,7 @@
 	if meets != bestMeets {
 		return meets
 	}
-	if healthy, bestHealthy := w.failures == 0 && w.stalls == 0, best.failures == 0 && best.stalls == 0; healthy != bestHealthy {
+	if healthy, bestHealthy := w.healthy(), best.healthy(); healthy != bestHealthy {
 		return healthy
 	}
 	a, b := p.estimator.KindFactor(w.Kind), p.estimator.KindFactor(best.Kind)
@@ -238,6 +241,9 @@
 	return w.Worker < best.Worker
 }
 
+// healthy reports whether w has no failures or stalls since a run was last done.
+func (w *workerState) healthy() bool { return w.failures == 0 && w.stalls == 0 }
+
 // fits reports whether t may start on w, an eligible worker: w is of its service, has
 // room, is of the kind or rack that the step's Label names, and has fewer than
 // PerWorker tasks of the step. A task that failed before goes neither to the
@@ -274,6 +280,7 @@
 	t.phase = starting
 	t.job.mayHaveStarted = true
 	t.assign(w)
+	p.trackStart(now, w, t)
 	w.reserved = p.isSuspect(t)
 	p.orderStart(now, w, t)
 	p.poll(now, w)
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"tamarackpin.example/internal/interference"
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/worker"
 )
@@ -182,6 +183,7 @@
 	reserved bool
 	free     worker.Resources     // capacity without that of the tasks assigned
 	tasks    map[job.Task]*task   // assigned, whatever their phase; their capacity is reserved
+	beside   interference.Tracker // of the tasks assigned, if interference is observed
 	orphans  map[job.Task]job.Run // runs listed that are not assigned here, such as those of jobs not forwarded yet
 
 	knownSince      time.Time            // when the Pool first heard of the worker, in any incarnation
