--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -76,6 +76,9 @@
 	JobWithdrawn      ID = 824
 	WithdrawalDelayed ID = 825
 	JobsUnclaimed     ID = 826
+	PairKnown         ID = 831
+	PairDropped       ID = 832
+	Interference      ID = 833
 )
 
 // Entry describes one event.
@@ -148,6 +151,9 @@
 	{JobWithdrawn, zapcore.InfoLevel, "job withdrawn by its gate", "The caller left or its time was over, or the gate forwarded the job to another dispatcher. `gate_silence` is the time since the newest message of the gate, and `gates` says how many gates wait for the job still: while there is one, it continues."},
 	{WithdrawalDelayed, zapcore.WarnLevel, "withdrawal was repeated", "A dispatcher acknowledged the withdrawal of `job` only after `attempts`, or, without `acknowledged`, not within `took`. Until then this gate's messages to it listed the withdrawal. If that VM is of an earlier build, or over 128 withdrawals were not acknowledged, they showed it no contact, so that it stopped extending leases of this gate's jobs. Look for lost connections between the two VMs."},
 	{JobsUnclaimed, zapcore.InfoLevel, "offloaded jobs run without a gate", "The gates of so many `jobs` that were offloaded to groups of this VM are lost, or their callers have left and a stop got no reply. All other entry VMs are told, and start none of them until their runs have ended, 1.8 s after the gate was last heard. `first` names up to 8 of them."},
+	{PairKnown, zapcore.InfoLevel, "rows slow each other down", "Tasks of `row` take `factor` times as long beside a task of the row `beside` on one worker, `low` to `high` by three standard errors. With the setting `interference` avoid they are placed apart where there is capacity. At most 8 such lines and 832 are written in 10 s for a group, and `omitted` counts those left out before. See docs/design/interference.md."},
+	{PairDropped, zapcore.InfoLevel, "rows no longer slow each other down", "A pair of 831 is not used any more: the slowdown has ended, or there were too few runs beside each other lately to tell, as after some minutes apart. It is learned again from new runs."},
+	{Interference, zapcore.InfoLevel, "interference observed", "Once a minute and group: the number of `observations` (runs that were done, of `rows_seen` rows), the pairs that are watched and those that are used (`known`), and `placed_apart`, the tasks placed on another worker because of a pair since the dispatcher took over. `rows` lists the rows with the most runs, 16 at most: how many ran alone, beside one and beside more tasks, on average over their time, and the geometric means of their time relative to the estimate. `pairs` lists the 8 pairs with the largest factor by `low`, known or not. The means are raw: a long run is seldom alone for all of its time, so that runs alone look shorter; the factors of the pairs allow for that."},
 }
 
 var byID = func() map[ID]Entry {
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"tamarackpin.example/internal/crash"
+	"tamarackpin.example/internal/interference"
 	"tamarackpin.example/internal/latestart"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
@@ -64,6 +65,8 @@
 	// CallersKnownUntil returns the newest time, not after now, such that this VM has ended the jobs of all callers that had left
 	// by then. If it is nil, it is now.
 	CallersKnownUntil func(now time.Time) time.Time
+	// Interference says what is done about rows that slow each other down; the zero Mode is off.
+	Interference interference.Mode
 }
 
 // command runs on the goroutine of [Group.Run].
@@ -77,6 +80,7 @@
 	self      vm.Presence
 	directory atomic.Pointer[directory]
 	counts    atomic.Pointer[pool.Counts]
+	pairs     atomic.Pointer[[]interference.Pair] // see Interference
 
 	offloads offloads
 
@@ -120,6 +124,7 @@
 	lateStarts          latestart.Log      // of the tasks of all groups
 	unclaimed           pool.UnclaimedJobs // of all groups
 	unclaimedSentAt     time.Time          // when they were last sent to the other entry VMs
+	pairsPublishedAt    time.Time
 	// When the late starts were last sent to the own and to the other failure domains.
 	lateStartsSentAt, lateStartsReportedAt time.Time
 	incarnations                           map[vm.ID]vm.Incarnation // of the VMs whose heartbeats arrived
@@ -141,8 +146,8 @@
 	return g
 }
 
-// Counts returns the totals of Waiting and Running over the groups that this VM leads, as
-// of the last orders or answers; the other counts are zero.
+// Counts returns the totals of Waiting, Assigned, PairsKnown and PlacedApart over the groups that this VM leads,
+// as of the last orders or answers; the other counts are zero.
 func (g *Group) Counts() pool.Counts {
 	if c := g.counts.Load(); c != nil {
 		return *c
@@ -273,6 +278,7 @@
 			s.pool.Tick(now)
 		}
 	}
+	g.tickInterference(now)
 }
 
 // updateWorkers passes new announcements of workers to the pools, and reports the free
@@ -360,6 +366,8 @@
 		if s.pool != nil {
 			total.Waiting += s.pool.Counts.Waiting
 			total.Assigned += s.pool.Counts.Assigned
+			total.PairsKnown += s.pool.Counts.PairsKnown
+			total.PlacedApart += s.pool.Counts.PlacedApart
 		}
 	}
 	g.counts.Store(&total)
--- a/tamarackpin/internal/group/state.go
+++ b/tamarackpin/internal/group/state.go
@@ -11,13 +11,14 @@
 
 // groupState is this VM's state in one group of workers.
 type groupState struct {
-	leadership *lead.Leadership
-	pool       *pool.Pool // nil unless this VM leads
-	fence      lead.Fence // of the newest pool
-	waiters    map[pool.Admission][]waiter
-	admissions map[Ticket]pool.Admission // the admission that each waiter waits for
-	givenBack  withdrawals               // the calls that were answered as of jobs that were never started
-	cursor     worker.Cursor             // position up to which the pool has received workers
+	leadership      *lead.Leadership
+	pool            *pool.Pool // nil unless this VM leads
+	fence           lead.Fence // of the newest pool
+	waiters         map[pool.Admission][]waiter
+	admissions      map[Ticket]pool.Admission // the admission that each waiter waits for
+	givenBack       withdrawals               // the calls that were answered as of jobs that were never started
+	cursor          worker.Cursor             // position up to which the pool has received workers
+	interferenceLog interferenceLog           // of the newest pool
 	// runsKnownLogged reports that it was logged that the pool knows the runs of earlier dispatchers.
 	runsKnownLogged bool
 	// workersIncomplete reports that there may be workers that the pool has not received.
--- a/tamarackpin/internal/metrics/metrics.go
+++ b/tamarackpin/internal/metrics/metrics.go
@@ -45,6 +45,8 @@
 	Running      func() int64
 	InHand       func() int64
 	TableVersion func() int64
+	// PairsKnown and PlacedApart are those of pool.Counts; nil on a server without workers.
+	PairsKnown, PlacedApart func() int64
 }
 
 // New returns Metrics that read g at each scrape.
@@ -83,7 +85,12 @@
 		{"tamarackpin.tasks.running", "Tasks that run on targets.", g.Running},
 		{"tamarackpin.callers.in_hand", "Callers that wait for a reply.", g.InHand},
 		{"tamarackpin.table.version", "Version of the table in force.", g.TableVersion},
+		{"tamarackpin.interference.pairs", "Pairs of rows known to slow each other down, of the groups that this VM leads.", g.PairsKnown},
+		{"tamarackpin.interference.placed_apart", "Tasks placed on another worker because of such a pair, since this VM took over the groups that it leads.", g.PlacedApart},
 	} {
+		if one.read == nil {
+			continue
+		}
 		_, err := meter.Int64ObservableGauge(one.name, metric.WithDescription(one.description),
 			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 				o.Observe(one.read())
--- a/tamarackpin/internal/node/metrics.go
+++ b/tamarackpin/internal/node/metrics.go
@@ -22,6 +22,9 @@
 		Waiting: count(func(c pool.Counts) int { return c.Waiting }),
 		Running: count(func(c pool.Counts) int { return c.Assigned }),
 		InHand:  n.unansweredJobs,
+
+		PairsKnown:  count(func(c pool.Counts) int { return c.PairsKnown }),
+		PlacedApart: count(func(c pool.Counts) int { return c.PlacedApart }),
 		TableVersion: func() int64 {
 			if t := n.Knowledge.Table(); t != nil {
 				return int64(t.Version)
