--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"tamarackpin.example/internal/interference"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/internal/wire"
 )
@@ -30,6 +31,7 @@
 	ShutdownLimit   wire.Duration      `json:"shutdown_limit" min:"1s" max:"10m" doc:"How long a graceful shutdown may take before the process is killed."`
 	Processor       vm.Processor       `json:"processor" optional:"true" doc:"Cores that this VM has: in each failure domain the VM with the most dispatches."`
 	MemoryMB        int                `json:"memory_mb" optional:"true" min:"0" max:"1048576" doc:"Memory that this process may use, in MB: it is kept free of garbage well below that. 0 is no limit."`
+	Interference    interference.Mode  `json:"interference" default:"avoid" doc:"What a dispatcher does about rows whose tasks slow each other down on one worker: off, observe (learn and log which) or avoid (also place them apart where there is capacity)."`
 	LogLevel        LogLevel           `json:"log_level" default:"info" doc:"Least level that is logged: debug, info, warn or error."`
 }
 
--- a/tamarackpin/internal/metrics/metrics.go
+++ b/tamarackpin/internal/metrics/metrics.go
@@ -47,6 +47,8 @@
 	TableVersion func() int64
 	// Evacuated is nil where no failure domain can be evacuated.
 	Evacuated func() int64
+	// PairsKnown and PlacedApart are those of pool.Counts; nil on a server without workers.
+	PairsKnown, PlacedApart func() int64
 }
 
 // New returns Metrics that read g at each scrape.
@@ -86,6 +88,8 @@
 		{"tamarackpin.callers.in_hand", "Callers that wait for a reply.", g.InHand},
 		{"tamarackpin.table.version", "Version of the table in force.", g.TableVersion},
 		{"tamarackpin.failure_domains.evacuated", "Failure domains that operators evacuate, as far as this VM knows.", g.Evacuated},
+		{"tamarackpin.interference.pairs", "Pairs of rows known to slow each other down, of the groups that this VM leads.", g.PairsKnown},
+		{"tamarackpin.interference.placed_apart", "Tasks placed on another worker because of such a pair, since this VM took over the groups that it leads.", g.PlacedApart},
 	} {
 		if one.read == nil {
 			continue
--- a/tamarackpin/internal/node/operators.go
+++ b/tamarackpin/internal/node/operators.go
@@ -18,6 +18,9 @@
 	if n.Keeper != nil {
 		c.Evacuate = n.Keeper.Evacuate
 	}
+	if n.group != nil {
+		c.Interference = func() any { return n.group.Interference() }
+	}
 	return nodeoperator.Handler(c)
 }
 
