tamarackpinctl: the tests wait for a call whose connection was cut

Cause: with the race detector, evacuation_unsure failed: the stand-in server writes what it was sent to the output of the test, which goes on once its connection is cut.

Change: the test closes the server, which waits for its calls, before it writes its own part of the output.

Run: go test -race -count=5 ./... in tamarackpinctl: passed.

--- a/tamarackpinctl/internal/cmd/cmd_test.go
+++ b/tamarackpinctl/internal/cmd/cmd_test.go
@@ -93,6 +93,7 @@
 	}
 	var stdout, stderr bytes.Buffer
 	code := Main(all, &stdout, &stderr)
+	s.Close() // waits for a call without a reply, which writes to out as well
 	fmt.Fprintf(&out, "%s%sexit %d\n", stdout.String(), stderr.String(), code)
 	text := strings.ReplaceAll(drawn.ReplaceAllString(out.String(), "ctl-DRAWN"), folder, "$FOLDER")
 	return strings.ReplaceAll(text, s.URL, "http://ADDRESS")
