pool: long tasks and slow workers are told apart

Cause: 3% of the tasks of deployment B take 7 times as long. Each was taken for a sign of a slow worker: its run was stopped as too slow, again on each next worker, and the worker's factor was raised with each list of the run. A run past its estimate was forecast to end now.

Change: tails holds a long run back until the next run on the same worker shows whether the worker or the task is long, and learns the share and length of each row's long tasks. A long run is stopped only if the worker is likelier to be slow than the task is to be long, and a task not twice for that. The forecast uses the progress of a run past its estimate or, without progress, what is left of the learned tail.

--- a/internal/pool/incarnation.go
+++ b/internal/pool/incarnation.go
@@ -114,6 +114,7 @@
 		ended: append([]worker.Incarnation{w.Incarnation}, w.ended[:min(len(w.ended), maxEnded-1)]...),
 	}
 	p.estimator.ForgetWorker(rec.Worker)
+	p.tails.forget(rec.Worker)
 	for _, t := range unackedTasks {
 		t.stopAckedAt, t.lapsesAt, t.startInherited = time.Time{}, now.Add(lateOrderLimit), true
 		p.stopTask(now, t)
--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -79,8 +79,7 @@
 			if slots--; slots < 0 {
 				break
 			}
-			took := time.Duration(float64(p.estimator.Work(t.job.Row, t.step)) * factor)
-			f = append(f, slot{later(now, t.orderedAt.Add(took)), factor})
+			f = append(f, slot{p.expectedEnd(now, w, t), factor})
 		}
 		for range min(max(0, slots), job.MaxTasks) {
 			f = append(f, slot{now, factor})
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -111,6 +111,7 @@
 	jobs       map[job.ID]*jobState
 	offloads   map[job.ID]offload // jobs of this group that another one may run
 	estimator  Estimator
+	tails      tails
 	crashes    *crash.Log
 	lateStarts *latestart.Log
 	unclaimed  *UnclaimedJobs
@@ -247,6 +248,7 @@
 		if gone {
 			delete(p.workers, w.Worker)
 			p.estimator.ForgetWorker(w.Worker)
+			p.tails.forget(w.Worker)
 		}
 		return gone
 	})
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -39,8 +39,9 @@
 	if float64(remaining) < restartFactor*float64(expected) {
 		return
 	}
-	p.estimator.Observe(t.job.Row, t.step, w.Kind, w.Worker, elapsed+remaining)
-	if now.Add(remaining).After(t.job.objectiveDeadline) {
+	p.observeRun(w, t, elapsed+remaining)
+	if now.Add(remaining).After(t.job.objectiveDeadline) && p.isSlow(now, w, t) {
+		t.stoppedSlow = true
 		p.stopTask(now, t)
 	}
 }
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -210,7 +210,7 @@
 		t.doneOn, t.doneOnIncarnation, t.endNumber = w.Worker, w.Incarnation, e.Number
 		// An adopted run (orderedAt is the takeover) has no known start to measure from.
 		if wasRunning && !t.ackedAt.IsZero() && orderedAt != p.startedAt {
-			p.estimator.Observe(j.Row, t.step, w.Kind, w.Worker, now.Sub(orderedAt))
+			p.observeRun(w, t, now.Sub(orderedAt))
 		}
 		if !j.closed && j.done() {
 			p.answer(now, j, Answer{Outcome: job.Completed})
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -39,6 +39,7 @@
 
 	lastFailedOn worker.ID // worker of the newest failed run
 	percent      int       // percentage done, the highest listed of this run
+	stoppedSlow  bool      // an earlier run was stopped as too slow, see Pool.isSlow
 	progressAt   time.Time // when percent last grew, or when the start was ordered
 
 	worker    *workerState // worker that the task is assigned to; nil if waiting or finished
