--- a/internal/pool/incarnation.go
+++ b/internal/pool/incarnation.go
@@ -115,6 +115,7 @@
 	}
 	p.estimator.ForgetWorker(rec.Worker)
 	p.interference.ForgetWorker(rec.Worker)
+	p.tails.forget(rec.Worker)
 	for _, t := range unackedTasks {
 		t.stopAckedAt, t.lapsesAt, t.startInherited = time.Time{}, now.Add(lateOrderLimit), true
 		p.stopTask(now, t)
--- a/internal/pool/interference.go
+++ b/internal/pool/interference.go
@@ -33,10 +33,10 @@
 	return w.beside.End(now, t.name)
 }
 
-// observeRun learns how long a run of t took on w that is done, and returns the time that it would have
+// observeInterference learns how the rows beside t slowed its run on w, which is done and took so long, and returns the time that it would have
 // taken alone as far as that is known: the estimates are of that time. A run whose start was ordered more
 // than once began at an unknown time.
-func (p *Pool) observeRun(now time.Time, w *workerState, t *task, took time.Duration, beside []interference.Exposure, ok bool) time.Duration {
+func (p *Pool) observeInterference(now time.Time, w *workerState, t *task, took time.Duration, beside []interference.Exposure, ok bool) time.Duration {
 	if !ok || t.repeated() || t.startInherited {
 		return took
 	}
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -211,8 +211,8 @@
 		t.doneOn, t.doneOnIncarnation, t.endNumber = w.Worker, w.Incarnation, e.Number
 		// An adopted run (orderedAt is the takeover) has no known start to measure from.
 		if wasRunning && !t.ackedAt.IsZero() && orderedAt != p.startedAt {
-			alone := p.observeRun(now, w, t, now.Sub(orderedAt), beside, besideKnown)
-			p.estimator.Observe(j.Row, t.step, w.Kind, w.Worker, alone)
+			alone := p.observeInterference(now, w, t, now.Sub(orderedAt), beside, besideKnown)
+			p.observeRun(w, t, alone)
 		}
 		if !j.closed && j.done() {
 			p.answer(now, j, Answer{Outcome: job.Completed})
