--- a/tamarackpin/internal/keeper/evacuate_test.go
+++ b/tamarackpin/internal/keeper/evacuate_test.go
@@ -238,3 +238,42 @@
 		}
 	})
 }
+
+// TestSnapshotReachesEmptyDisk: a member with an empty disk gets the set by a snapshot, once the log that had the orders was replaced by
+// one, with the age of the evacuation.
+func TestSnapshotReachesEmptyDisk(t *testing.T) {
+	const entries, atOnce = 2200, 200 // package replica replaces a log of 2,000 entries
+	inCluster(t, func(t *testing.T, c *cluster) {
+		c.startAll()
+		c.order(0, true)
+		leader := c.leader()
+		for range entries / atOnce {
+			var proposals sync.WaitGroup
+			for range atOnce {
+				proposals.Go(func() {
+					if _, err := leader.running().proposeLocal(t.Context(), entry{Barrier: true}); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			proposals.Wait()
+		}
+		compacted := false
+		leader.running().replica.Do(t.Context(), func(core *quorum.Core, _ time.Time) { compacted = core.LogLength() < entries })
+		if !compacted || !leader.leads() {
+			t.Fatalf("the log was replaced: %t; the member leads: %t", compacted, leader.leads())
+		}
+		empty := c.members[0]
+		if empty == leader {
+			empty = c.members[1]
+		}
+		empty.wipe()
+		time.Sleep(3 * time.Second)
+		empty.start()
+		c.awaitEvacuated(true)
+		now := time.Now()
+		if got, want := empty.knowledge.Evacuations().Age(now, evacuatedDomain), leader.knowledge.Evacuations().Age(now, evacuatedDomain); got < 3*time.Second || (got-want).Abs() > time.Second {
+			t.Errorf("age %s at the member with the empty disk, %s at the leader", got, want)
+		}
+	})
+}
