pool, gate: no starts in an evacuated failure domain, and a slow return

Cause: operators evacuate failure domains (docs/design/hard-load.md, Part 1), and later than 5 s after the acknowledgement nothing may start on their workers.

Change: Pool.SetEvacuation has the newest order for the failure domain, from each tick of the group before anything is scheduled, and at each takeover. While it is evacuated no task starts; tasks of a job that has begun or may have begun do so for 2.5 s from the commit. One check (withholdsStarts) is on the two paths on which starts are ordered, scheduleTasks and repeatStarts. Jobs that have not begun are returned to their gates at once, or refused at once if no other group may take them; the others are abandoned after the grace unless all their tasks run. A run that stalls or is slow is not stopped then, as it could start nowhere else. A start in doubt is given up as on a worker that leaves. Reports have no free slots, and gates leave evacuated failure domains out. A gate of an evacuated failure domain also tries groups without reported capacity, up to three, which answer at once whether they would be late.

A dispatcher starts nothing before its process has the table, with which the set arrives (Config.EvacuationUnknown).

After the return a cold worker (ColdRemainingMs) gets one task more at a time than it has completed since. ColdRemaining is passed on in replies only, whose unknown fields earlier builds ignore, and is no change that control VMs must tell at once.

--- a/internal/offload/balancer.go
+++ b/internal/offload/balancer.go
@@ -40,6 +40,9 @@
 	Tasks      int                // number of the job's tasks
 	Gates      int                // number of gates that probably offload to the same groups, with this one
 	Tried      []pool.Destination // groups that have not run the job
+	// NoHome reports that the job cannot run in its own failure domain. If no group has capacity left, it is offered to
+	// one that may do it in time nevertheless, which the group tells at once.
+	NoHome bool
 }
 
 // Balancer remembers what one gate has recently offloaded to each group. The zero Balancer
@@ -80,6 +83,14 @@
 		weights[i] = b.weight(now, c, one)
 		sum += weights[i]
 	}
+	if sum == 0 && c.NoHome {
+		for i, one := range c.Candidates {
+			if !b.excluded(now, c, one) {
+				weights[i] = 1
+				sum++
+			}
+		}
+	}
 	at := random * sum
 	chosen := -1
 	for i, w := range weights {
@@ -97,17 +108,21 @@
 	return c.Candidates[chosen], true
 }
 
-// weight returns the weight of a group in the choice, 0 if it is excluded.
-func (b *Balancer) weight(now time.Time, c Choice, one Candidate) float64 {
+// excluded reports whether a group has returned this job, or any job since its last report.
+func (b *Balancer) excluded(now time.Time, c Choice, one Candidate) bool {
 	d := one.Destination()
-	if !one.AcceptsOffload() || slices.ContainsFunc(c.Tried, d.SameGroup) {
+	h := b.groups[keyOf(d)]
+	refused := h != nil && !h.refusedAt.IsZero() && !one.MadeAt.After(h.refusedAt) && now.Sub(h.refusedAt) < memory
+	return refused || slices.ContainsFunc(c.Tried, d.SameGroup)
+}
+
+// weight returns the weight of a group in the choice by its capacity, 0 if it has none left or is excluded.
+func (b *Balancer) weight(now time.Time, c Choice, one Candidate) float64 {
+	if !one.AcceptsOffload() || b.excluded(now, c, one) {
 		return 0
 	}
 	left := one.FreeSlots
-	if h := b.groups[keyOf(d)]; h != nil {
-		if !h.refusedAt.IsZero() && !one.MadeAt.After(h.refusedAt) && now.Sub(h.refusedAt) < memory {
-			return 0
-		}
+	if h := b.groups[keyOf(one.Destination())]; h != nil {
 		left -= h.tasksSince(one.MadeAt) * max(1, c.Gates)
 	}
 	switch {
--- a/internal/offload/balancer_test.go
+++ b/internal/offload/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,6 +48,9 @@
 			l.RecordSent(made.Add(-time.Millisecond), a.Destination(), 100) // the report has it
 			l.RecordSent(now, a.Destination(), 3)
 		}, map[vm.FailureDomain]int{"a": 50, "b": 50}},
+		{"full, and no home", Choice{Candidates: []Candidate{candidate("a", -9, made), candidate("b", 3, made), c}, Tasks: 12, NoHome: true}, func(l *Balancer) {
+			l.RecordRefusal(now, c.Destination())
+		}, map[vm.FailureDomain]int{"a": 50, "b": 50}},
 		{"refused since the report", Choice{Candidates: []Candidate{a, b}, Tasks: 1}, func(l *Balancer) {
 			l.RecordRefusal(now, a.Destination())
 			l.RecordRefusal(made.Add(-time.Millisecond), b.Destination())
@@ -94,7 +98,12 @@
 	groups []*surgeGroup
 	gates  []*surgeGate
 
+	// evacuated are the groups of a failure domain that is evacuated halfway; its gates, a quarter of all, offload as many jobs
+	// again from then on, and have no home.
+	evacuated                []lead.Group
+	noHome                   bool // the job at hand is of the evacuated failure domain
 	offered, accepted, calls int
+	toEvacuated              int // accepted by an evacuated group after its reports said so
 }
 
 type surgeGroup struct {
@@ -136,8 +145,18 @@
 
 // run offloads jobs for 20 s, each to as many groups as most says.
 func (s *surge) run(pick choose, most int) {
-	for range int(20 * time.Second / surgeStep) {
+	steps := int(20 * time.Second / surgeStep)
+	for step := range steps {
 		s.now = s.now.Add(surgeStep)
+		over := step >= steps/2
+		if step == steps/2 {
+			for _, i := range s.evacuated { // entry VMs get the set within a round trip
+				s.groups[i].free = -1000
+				for _, g := range s.gates {
+					g.reports[i], g.nextAt[i] = Candidate{}, s.now.Add(time.Hour)
+				}
+			}
+		}
 		for _, g := range s.groups {
 			g.free += g.queue[s.now]
 			delete(g.queue, s.now)
@@ -152,8 +171,13 @@
 				}
 			}
 		}
-		for range 1 + s.r.IntN(3) { // 200 jobs in a second, which take 240 of the 340 free slots
+		jobs := 1 + s.r.IntN(3) // 200 jobs in a second, which take 240 of the 340 free slots
+		if over && len(s.evacuated) > 0 {
+			jobs *= 2
+		}
+		for n := range jobs {
 			g := s.gates[s.r.IntN(len(s.gates))]
+			s.noHome = n%2 == 1
 			s.offered++
 			var tried []pool.Destination
 			for len(tried) < most {
@@ -164,6 +188,9 @@
 				s.calls++
 				g.b.RecordSent(s.now, to.Destination(), surgeTasks)
 				group := s.groups[to.Group]
+				if over && slices.Contains(s.evacuated, to.Group) {
+					s.toEvacuated++
+				}
 				if group.free >= surgeTasks {
 					group.free -= surgeTasks
 					group.queue[s.now.Add(surgeRunTime)] += surgeTasks
@@ -188,7 +215,7 @@
 }
 
 func balanced(s *surge, g *surgeGate, tried []pool.Destination) (Candidate, bool) {
-	return g.b.Choose(s.now, Choice{Candidates: g.reports, Tasks: surgeTasks, Gates: len(s.gates) / 4, Tried: tried}, s.r.Float64())
+	return g.b.Choose(s.now, Choice{Candidates: g.reports, Tasks: surgeTasks, Gates: len(s.gates) / 4, Tried: tried, NoHome: s.noHome && len(s.evacuated) > 0}, s.r.Float64())
 }
 
 // TestSurgeAgainstNaiveChoice guards against all gates sending their jobs to one group until its next
@@ -206,3 +233,19 @@
 		}
 	}
 }
+
+// TestSurgeMeetsEvacuation guards against a choice that does without capacity while a demand surge meets the evacuation of another
+// failure domain: twice the jobs are offloaded then, to two failure domains that can take half of them.
+func TestSurgeMeetsEvacuation(t *testing.T) {
+	for seed := range uint64(5) {
+		simple, all := newSurge(seed), newSurge(seed)
+		simple.evacuated, all.evacuated = []lead.Group{3, 4, 5}, []lead.Group{3, 4, 5}
+		simple.run(naive, 1)
+		all.run(balanced, MaxGroups)
+		rate := func(s *surge) float64 { return float64(s.accepted) / float64(s.offered) }
+		t.Logf("seed %d: accepted of %d offered: most free slots %.2f, by weight %.2f with %.2f calls for each job", seed, simple.offered, rate(simple), rate(all), float64(all.calls)/float64(all.offered))
+		if rate(all) < rate(simple)+0.2 || all.toEvacuated > 0 {
+			t.Errorf("seed %d: the weighted choice is not better, or %d jobs went to the evacuated failure domain", seed, all.toEvacuated)
+		}
+	}
+}
--- a/internal/pool/forgotten_offloads_test.go
+++ b/internal/pool/forgotten_offloads_test.go
@@ -124,7 +124,8 @@
 	}
 	d.sim.pools = append(d.sim.pools, New(d.sim.now, Config{
 		Fence: lead.Fence(self + 1), LeaseMax: time.Second, StopMax: 50 * time.Millisecond, DividedAt: dividedAt, LateStarts: l, Unclaimed: u,
-		GateContact: func(now time.Time, a Admission) GateContact { return d.contact(now, self, a) },
+		GateContact:       func(now time.Time, a Admission) GateContact { return d.contact(now, self, a) },
+		EvacuationUnknown: !distant && d.sim.evacuated != nil,
 	}))
 	return self
 }
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -47,6 +47,10 @@
 		p.adopt(now, j)
 	}
 	p.scheduleTasks(now)
+	if p.evacuation.Evacuated && j.hasWaitingTasks() && !p.mayHaveUnknownRuns(now) {
+		p.returnJob(now, j)
+		return j.admission
+	}
 	if j.hasWaitingTasks() && now.Sub(p.lastShedAt) >= p.shedGap() {
 		p.shedLoad(now) // otherwise within shedInterval
 	}
--- a/internal/pool/late_starts.go
+++ b/internal/pool/late_starts.go
@@ -44,13 +44,13 @@
 
 // repeatStarts orders the starts on w again that got no reply, for the same runs, once w
 // replies: it carries each run out once, whichever order arrives first. On a worker that leaves
-// they are given up once they cannot be carried out any more, see reconcile.
+// they are given up once they cannot be carried out any more, see reconcile. So they are while starts are withheld.
 func (p *Pool) repeatStarts(now time.Time, w *workerState) {
 	if !w.takesStarts() || !w.hasDoubtfulStart() || p.leasesMustLapse(now, w) {
 		return
 	}
 	for _, t := range assignedTasks(w) {
-		if t.phase == inDoubt {
+		if t.phase == inDoubt && !p.withholdsStarts(now, t.job) {
 			t.phase = starting
 			p.orderStart(now, w, t)
 		}
--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -82,7 +82,7 @@
 			took := time.Duration(float64(p.estimator.Work(t.job.Row, t.step)) * factor)
 			f = append(f, slot{later(now, t.orderedAt.Add(took)), factor})
 		}
-		for range min(max(0, slots), job.MaxTasks) {
+		for range min(p.coldSlots(now, w, max(0, slots)), job.MaxTasks) {
 			f = append(f, slot{now, factor})
 		}
 	}
@@ -116,6 +116,10 @@
 // begun here come first.
 func (p *Pool) shedLoad(now time.Time) {
 	p.lastShedAt = now
+	if p.evacuation.Evacuated {
+		p.returnJobs(now)
+		return
+	}
 	queue := p.waitingJobs()
 	if len(queue) == 0 {
 		return
@@ -171,7 +175,7 @@
 // Report returns the Fence and FreeSlots of the group; the caller fills in the rest.
 func (p *Pool) Report(now time.Time) Report {
 	r := Report{Fence: p.config.Fence}
-	if p.newlyDivided(now) || p.mayHaveUnknownRuns(now) {
+	if p.newlyDivided(now) || p.mayHaveUnknownRuns(now) || p.evacuation.Evacuated || p.config.EvacuationUnknown {
 		return r
 	}
 	need, tasks := defaultNeed, 0
@@ -183,7 +187,7 @@
 	}
 	for _, w := range p.byID {
 		if w.eligible(now) {
-			r.FreeSlots += max(0, w.free.MilliCores/need)
+			r.FreeSlots += p.coldSlots(now, w, max(0, w.free.MilliCores/need))
 		}
 	}
 	r.FreeSlots -= tasks
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -35,6 +35,7 @@
 	"time"
 
 	"tamarackpin.example/internal/crash"
+	"tamarackpin.example/internal/evacuation"
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/latestart"
 	"tamarackpin.example/internal/lead"
@@ -65,6 +66,9 @@
 	LateStarts *latestart.Log
 	// Unclaimed has the offloaded jobs that may run although no gate waits for them; nil means none. The Pool adds to it.
 	Unclaimed *UnclaimedJobs
+	// EvacuationUnknown reports that the process does not know yet which failure domains are evacuated. Nothing starts
+	// before [Pool.SetEvacuation].
+	EvacuationUnknown bool
 	// GateContact returns the contact with the gates that wait for an admission. Nil stands for uninterrupted
 	// contact.
 	GateContact func(now time.Time, a Admission) GateContact
@@ -114,6 +118,7 @@
 	crashes    *crash.Log
 	lateStarts *latestart.Log
 	unclaimed  *UnclaimedJobs
+	evacuation evacuation.Domain // newest order for the failure domain
 
 	judgedVersion uint64 // of crashes, when giveUpJobs last ran
 
@@ -137,6 +142,9 @@
 	// every task that has a worker, also those starting, stopping and in doubt.
 	Waiting, Assigned                                int
 	Started, Done, Failed, Lapsed, Requeued, InDoubt int
+	// StartsWithheld counts the tasks that did not start since the failure domain is evacuated, and JobsMoved the
+	// jobs that were returned to their gates for that, to be offloaded.
+	StartsWithheld, JobsMoved int
 	// RefusedOrders counts the orders that workers refused, or that were never sent;
 	// refused jobs are not counted.
 	RefusedOrders map[Refusal]int
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -25,6 +25,9 @@
 	if percent > t.percent {
 		t.percent, t.progressAt = percent, now
 	}
+	if p.withholdsStarts(now, t.job) {
+		return // a run that is stopped could not start anywhere else
+	}
 	expected := time.Duration(float64(p.estimator.Work(t.job.Row, t.step)) * p.estimator.KindFactor(w.Kind))
 	if now.Sub(later(t.progressAt, t.orderedAt)) > stallTimeout+expected/25 {
 		w.stalls++
--- a/internal/pool/renewal.go
+++ b/internal/pool/renewal.go
@@ -129,7 +129,7 @@
 				t.phase, t.ackedAt = running, now
 			}
 		case t.phase == running && r.Sent.After(t.ackedAt), t.phase == stopping && r.Sent.After(t.lapsesAt),
-			t.phase == inDoubt && w.leaves() && r.Sent.After(t.lapsesAt):
+			t.phase == inDoubt && (w.leaves() || p.withholdsStarts(now, t.job)) && r.Sent.After(t.lapsesAt):
 			// It is neither listed nor among the ends, and cannot start any more.
 			p.requeue(t)
 			p.forgetIfDone(t.job)
@@ -206,6 +206,7 @@
 	case e.Kind == EndedDone:
 		p.Counts.Done++
 		w.failures, w.stalls = 0, 0
+		w.doneSinceReturn++
 		t.phase = finished
 		t.doneOn, t.doneOnIncarnation, t.endNumber = w.Worker, w.Incarnation, e.Number
 		// An adopted run (orderedAt is the takeover) has no known start to measure from.
--- a/internal/pool/schedule_test.go
+++ b/internal/pool/schedule_test.go
@@ -137,7 +137,8 @@
 	stepped    *stepped
 	doubled    *doubledReplies
 	settled    *settled
-	concurrent error // of the first start beside a run of the same task on the same worker
+	evacuated  *evacuations // nil in schedules without
+	concurrent error        // of the first start beside a run of the same task on the same worker
 }
 
 func newSimulation(seed uint64, f fault) *simulation {
@@ -197,6 +198,7 @@
 		c.DividedAt = sim.divisionKnownAt[g]
 	}
 	c.WorkersIncomplete = sim.hidden.hideSome(sim, g)
+	c.EvacuationUnknown = sim.evacuated != nil
 	self := len(sim.pools)
 	c.GateContact = func(now time.Time, a Admission) GateContact {
 		if sim.fault == faultContactUnasked {
@@ -424,6 +426,7 @@
 	})
 	for _, o := range orders {
 		sim.settled.checkStart(sim, i, o)
+		sim.evacuated.checkStart(sim, i, o)
 		sim.stats["orders"]++
 		delay := time.Duration(1+sim.r.IntN(6)) * time.Millisecond
 		f := scheduledEvent{orderID: sim.stats["orders"], pool: i, order: o, at: sim.now.Add(delay)}
--- a/internal/pool/scheduling.go
+++ b/internal/pool/scheduling.go
@@ -34,7 +34,7 @@
 	}
 	var candidates []*workerState
 	for _, w := range p.byID {
-		if w.free.MilliCores >= least && len(w.orphans) == 0 && w.timing.Known() && w.eligible(now) && !p.runsSuspect(w) && !p.leasesMustLapse(now, w) {
+		if w.free.MilliCores >= least && len(w.orphans) == 0 && w.timing.Known() && w.eligible(now) && !p.runsSuspect(w) && !p.leasesMustLapse(now, w) && p.coldSlots(now, w, 1) > 0 {
 			w.reserved = false
 			candidates = append(candidates, w)
 		}
@@ -68,7 +68,7 @@
 func (p *Pool) readyJobs(now time.Time) []readyJob {
 	var list []readyJob
 	for _, j := range p.jobs {
-		if !j.closed && j.hasWaitingTasks() && !p.gateSilent(now, j) && j.earlierRunsOver(now) && !p.runsUnclaimed(now, j) {
+		if !j.closed && j.hasWaitingTasks() && !p.withholdsStarts(now, j) && !p.gateSilent(now, j) && j.earlierRunsOver(now) && !p.runsUnclaimed(now, j) {
 			list = append(list, readyJob{j, j.queueClass(now)})
 		}
 	}
@@ -274,7 +274,7 @@
 	t.phase = starting
 	t.job.mayHaveStarted = true
 	t.assign(w)
-	w.reserved = p.isSuspect(t)
+	w.reserved = p.isSuspect(t) || p.coldSlots(now, w, 1) == 0
 	p.orderStart(now, w, t)
 	p.poll(now, w)
 }
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -178,7 +178,7 @@
 	worker.Record
 	timing worker.ClockEstimate
 	// reserved excludes a candidate of scheduleTasks, which has just started a suspect
-	// there; the next call finds the suspect by runsSuspect.
+	// there; the next call finds the suspect by runsSuspect. So is one that is cold and has its share of tasks.
 	reserved bool
 	free     worker.Resources     // capacity without that of the tasks assigned
 	tasks    map[job.Task]*task   // assigned, whatever their phase; their capacity is reserved
@@ -206,6 +206,7 @@
 	failures        int                  // number of failures since a run was last done
 	stalls          int                  // number of runs that stalled since one was last done
 	fenceSeen       bool                 // this incarnation has carried out an order of this Pool, and refuses those of earlier dispatchers
+	doneSinceReturn int                  // runs that were done in this incarnation since the failure domain was returned to service
 	leasesUntil     time.Time            // all leases that this Pool asked for, or found there, have lapsed by then, however slow its clock is
 	lastReplyAt     time.Time            // when it last replied
 	noListenerAt    time.Time            // when its host last refused a connection
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -79,6 +79,9 @@
 	Rack          Rack             `json:"rack,omitempty"`
 	Leaving       bool             `json:"leaving,omitempty"`
 	Clock         Clock            `json:"clock"` // 0 if the worker sent none
+	// ColdRemaining is how much longer the worker is slow after its start, as of the announcement. Announcements are
+	// passed on in replies only, whose unknown fields earlier builds ignore.
+	ColdRemaining time.Duration `json:"cold_remaining,omitempty"`
 }
 
 // Limits of what a worker says of itself. Any program may announce itself, also under the
@@ -151,8 +154,8 @@
 	return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && !strings.ContainsRune("-._", r)
 }
 
-// sameAs reports whether a and o differ at most in sequence and clock.
+// sameAs reports whether a and o differ at most in what changes with the time: sequence, clock and ColdRemaining.
 func (a Announcement) sameAs(o Announcement) bool {
-	a.Sequence, a.Clock = o.Sequence, o.Clock
+	a.Sequence, a.Clock, a.ColdRemaining = o.Sequence, o.Clock, o.ColdRemaining
 	return a == o
 }
--- a/tamarackpin/internal/fleet/knowledge.go
+++ b/tamarackpin/internal/fleet/knowledge.go
@@ -260,14 +260,14 @@
 }
 
 // SpareGroups returns the groups to which jobs of this failure domain's group own may be offloaded,
-// sorted, with their last reports.
+// sorted, with their last reports, whether or not they have capacity left. Evacuated failure domains are left out.
 func (k *Knowledge) SpareGroups(now time.Time, own lead.Group) []offload.Candidate {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var list []offload.Candidate
 	for key, r := range k.reports {
 		isLocal := key.domain == k.self.FailureDomain
-		if isLocal && (key.group == own || r.Epoch == 0) || now.Sub(r.madeAt) >= reportMaxAge || !r.AcceptsOffload() {
+		if isLocal && (key.group == own || r.Epoch == 0) || now.Sub(r.madeAt) >= reportMaxAge || k.evacuations.Contains(key.domain) {
 			continue
 		}
 		list = append(list, offload.Candidate{Report: r.Report, MadeAt: r.madeAt, Local: isLocal})
--- a/tamarackpin/internal/fleet/knowledge_test.go
+++ b/tamarackpin/internal/fleet/knowledge_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"tamarackpin.example/internal/evacuation"
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/routes"
@@ -67,8 +68,8 @@
 	}
 }
 
-// TestSpareGroup: jobs are offloaded to a group with enough free slots and a recent
-// report, and not to their own group.
+// TestSpareGroup: jobs are offloaded to groups with a recent report, and neither to their own
+// group nor to an evacuated failure domain. Package offload tells which have enough free slots.
 func TestSpareGroup(t *testing.T) {
 	now := time.Unix(1000, 0)
 	k := knowledge("ip-01", "a")
@@ -79,9 +80,10 @@
 	} {
 		k.recordReport(now, r)
 	}
-	if list := k.SpareGroups(now.Add(time.Second), 0); len(list) != 1 || list[0].FailureDomain != "b" || list[0].Local || !list[0].MadeAt.Equal(now) {
-		t.Errorf("spare groups %+v; want that of failure domain b", list)
+	if list := k.SpareGroups(now.Add(time.Second), 0); len(list) != 2 || list[0].FailureDomain != "b" || list[0].Local || !list[0].MadeAt.Equal(now) || !list[0].AcceptsOffload() || list[1].AcceptsOffload() {
+		t.Errorf("spare groups %+v; want those of failure domains b, which accepts jobs, and c", list)
 	}
+	k.SetEvacuations(evacuation.Set{}.With(evacuation.Domain{FailureDomain: "c", Revision: 1, Evacuated: true}))
 	k.recordReport(now.Add(time.Second), pool.Report{FailureDomain: "b", VM: "ip-04", Fence: 0, FreeSlots: 30})
 	if list := k.SpareGroups(now.Add(time.Second), 0); len(list) != 1 || list[0].VM != "ip-02" {
 		t.Errorf("a report under an older fence was used: %+v", list)
--- a/tamarackpin/internal/gate/cancel_test.go
+++ b/tamarackpin/internal/gate/cancel_test.go
@@ -13,6 +13,7 @@
 	"tamarackpin.example/internal/job"
 	"tamarackpin.example/internal/pool"
 	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/tamarackpin/internal/fleet"
 	"tamarackpin.example/tamarackpin/internal/peer"
@@ -62,6 +63,7 @@
 // gateBeside returns a gate that knows one other entry VM.
 func gateBeside(o *otherVM) *Gate {
 	k := fleet.NewKnowledge(vm.Presence{VM: "ip-0a000001", FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
+	k.AdoptTable(&routes.Table{Version: 1}, "") // the evacuations are known with it
 	k.ObserveVM(time.Now(), vm.Presence{VM: "ip-0a000002", FailureDomain: "b", Incarnation: 1, Callers: true}, 0)
 	return &Gate{Knowledge: k, Log: zap.NewNop(), Mesh: &peer.Mesh{
 		Self: "ip-0a000001", Recorder: &report.Recorder{}, Address: func(vm.ID) (string, bool) { return o.listener.Addr().String(), true },
@@ -219,6 +221,7 @@
 // TestCancelsOfAForgottenVMAreDropped: cancels are kept for a VM only while it is known and they are remembered.
 func TestCancelsOfAForgottenVMAreDropped(t *testing.T) {
 	k := fleet.NewKnowledge(vm.Presence{VM: "ip-0a000001", FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
+	k.AdoptTable(&routes.Table{Version: 1}, "") // the evacuations are known with it
 	now := time.Now()
 	k.ObserveVM(now, vm.Presence{VM: "ip-0a000002", FailureDomain: "b", Incarnation: 1, Callers: true}, 0)
 	g := &Gate{Knowledge: k, undelivered: map[vm.ID][]job.ID{"ip-0a000002": {"old", "new"}, "ip-0a000003": {"new"}}}
--- a/tamarackpin/internal/gate/gate_test.go
+++ b/tamarackpin/internal/gate/gate_test.go
@@ -51,6 +51,7 @@
 
 func testJobThatDispatchersFailOnIsGivenUp(t *testing.T) {
 	k := fleet.NewKnowledge(vm.Presence{VM: "ip-0a000001", FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
+	k.AdoptTable(&routes.Table{Version: 1}, "") // the evacuations are known with it
 	var x peer.Mux
 	g := group.New(time.Now().Add(-time.Minute), group.Config{Knowledge: k, Syncer: &fleet.Syncer{Knowledge: k, Log: zap.NewNop()}, Log: zap.NewNop()}, &x)
 	ctx, stop := context.WithCancel(t.Context())
--- a/tamarackpin/internal/gate/handover_test.go
+++ b/tamarackpin/internal/gate/handover_test.go
@@ -51,6 +51,7 @@
 		p := newSilencingProxy(t, l.Addr().String())
 		h.proxies, addresses[id] = append(h.proxies, p), p.listener.Addr().String()
 		k := fleet.NewKnowledge(vm.Presence{VM: id, FailureDomain: "a", Incarnation: 1, Callers: true}, zap.NewNop())
+		k.AdoptTable(&routes.Table{Version: 1}, "") // the evacuations are known with it
 		m := &peer.Mesh{Self: id, Recorder: &report.Recorder{}, FailuresToRedial: 2, Address: func(id vm.ID) (string, bool) { return addresses[id], true }}
 		s := &fleet.Syncer{Knowledge: k, Mesh: m, Log: zap.NewNop()}
 		var x peer.Mux
--- a/tamarackpin/internal/gate/offload.go
+++ b/tamarackpin/internal/gate/offload.go
@@ -20,7 +20,10 @@
 	if g.Random != nil {
 		random = g.Random
 	}
-	choice := offload.Choice{Candidates: g.Knowledge.SpareGroups(now, own), Tasks: r.Job.TaskCount(), Gates: g.Knowledge.CountGates(), Tried: tried}
+	choice := offload.Choice{
+		Candidates: g.Knowledge.SpareGroups(now, own), Tasks: r.Job.TaskCount(), Gates: g.Knowledge.CountGates(), Tried: tried,
+		NoHome: g.Knowledge.Evacuations().Contains(g.Knowledge.Self().FailureDomain),
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c, ok := g.balancer.Choose(now, choice, random())
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -38,8 +38,10 @@
 			s.dropPool(now)
 			s.pool = pool.New(now, pool.Config{
 				Fence: claim.Fence, LeaseMax: g.config.LeaseMax, StopMax: g.config.StopMax, DividedAt: g.dividedAt, WorkersIncomplete: incomplete, FirstDispatcher: first, Crashes: &g.crashes, LateStarts: &g.lateStarts, Unclaimed: &g.unclaimed,
-				GateContact: func(now time.Time, a pool.Admission) pool.GateContact { return g.gateContact(now, s.waiters[a]) },
+				EvacuationUnknown: true,
+				GateContact:       func(now time.Time, a pool.Admission) pool.GateContact { return g.gateContact(now, s.waiters[a]) },
 			})
+			g.setEvacuation(now, s.pool)
 			s.fence, s.predecessor, s.runsInherited = claim.Fence, lead.Claim{}, false
 			if incomplete {
 				s.predecessor = s.leadership.Predecessor()
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -253,6 +253,11 @@
 		g.applyDivision(now, d) // the one that a control VM has stored
 	}
 	g.tickLeaderships(now)
+	for _, s := range g.groups {
+		if s.pool != nil {
+			g.setEvacuation(now, s.pool)
+		}
+	}
 	g.runWithdrawals()
 	g.earlyWithdrawals.expire(now)
 	for _, s := range g.groups {
--- a/tamarackpin/internal/group/partial_test.go
+++ b/tamarackpin/internal/group/partial_test.go
@@ -10,6 +10,7 @@
 
 	"tamarackpin.example/internal/lead"
 	"tamarackpin.example/internal/report"
+	"tamarackpin.example/internal/routes"
 	"tamarackpin.example/internal/vm"
 	"tamarackpin.example/internal/worker"
 	"tamarackpin.example/tamarackpin/internal/fleet"
@@ -23,6 +24,7 @@
 		m = &peer.Mesh{}
 	}
 	k := fleet.NewKnowledge(vm.Presence{VM: id, FailureDomain: "a", Incarnation: vm.Incarnation(startedAt.UnixMilli()), Callers: true}, zap.NewNop())
+	k.AdoptTable(&routes.Table{Version: 1}, "") // the evacuations are known with it
 	var x peer.Mux
 	k.Serve(&x)
 	a := &fleet.Syncer{Knowledge: k, Mesh: m, Log: zap.NewNop()}
