--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -81,7 +81,7 @@
 			}
 			f = append(f, slot{p.expectedEnd(now, w, t), factor})
 		}
-		for range min(max(0, slots), job.MaxTasks) {
+		for range min(p.coldSlots(now, w, max(0, slots)), job.MaxTasks) {
 			f = append(f, slot{now, factor})
 		}
 	}
@@ -115,6 +115,10 @@
 // begun here come first.
 func (p *Pool) shedLoad(now time.Time) {
 	p.lastShedAt = now
+	if p.evacuation.Evacuated {
+		p.returnJobs(now)
+		return
+	}
 	queue := p.waitingJobs()
 	if len(queue) == 0 {
 		return
@@ -170,7 +174,7 @@
 // Report returns the Fence and FreeSlots of the group; the caller fills in the rest.
 func (p *Pool) Report(now time.Time) Report {
 	r := Report{Fence: p.config.Fence}
-	if p.newlyDivided(now) || p.mayHaveUnknownRuns(now) {
+	if p.newlyDivided(now) || p.mayHaveUnknownRuns(now) || p.evacuation.Evacuated || p.config.EvacuationUnknown {
 		return r
 	}
 	need, tasks := defaultNeed, 0
@@ -182,7 +186,7 @@
 	}
 	for _, w := range p.byID {
 		if w.eligible(now) {
-			r.FreeSlots += max(0, w.free.MilliCores/need)
+			r.FreeSlots += p.coldSlots(now, w, max(0, w.free.MilliCores/need))
 		}
 	}
 	r.FreeSlots -= tasks
