--- a/internal/pool/evacuation.go
+++ b/internal/pool/evacuation.go
@@ -1,15 +1,22 @@
 package pool
 
 import (
+	"cmp"
 	"time"
 
 	"tamarackpin.example/internal/evacuation"
 	"tamarackpin.example/internal/job"
 )
 
-// evacuationGrace is how long after an operator's order to evacuate the failure domain tasks of jobs that have begun may
-// start: half of the bound from the acknowledgement, after which nothing may start.
-const evacuationGrace = 2500 * time.Millisecond
+// defaultEvacuationBound applies where the platform states no bound after which nothing may start in an evacuated
+// failure domain: longer than most jobs that have begun take.
+const defaultEvacuationBound = 5 * time.Second
+
+// evacuationGrace returns how long after an operator's order to evacuate the failure domain tasks of jobs that have
+// begun may start: half of the bound, which counts from the acknowledgement. The rest allows for orders that are late.
+func (c Config) evacuationGrace() time.Duration {
+	return cmp.Or(c.EvacuationBound, defaultEvacuationBound) / 2
+}
 
 // SetEvacuation tells the Pool the newest order of operators for its failure domain; zero if there was none. It is
 // called before anything else at a time.
@@ -37,7 +44,7 @@
 }
 
 // withholdsStarts reports whether no task of j may be started, whatever the reason for the start: the failure
-// domain is evacuated, or that is not known yet. Tasks of a job that may have begun start within evacuationGrace.
+// domain is evacuated, or that is not known yet. Tasks of a job that may have begun start within the grace period.
 func (p *Pool) withholdsStarts(now time.Time, j *jobState) bool {
 	if p.config.EvacuationUnknown || !p.evacuation.Evacuated {
 		return p.config.EvacuationUnknown
@@ -45,7 +52,7 @@
 	return !p.inGrace(now) || !j.begun() && !j.mayHaveStarted
 }
 
-func (p *Pool) inGrace(now time.Time) bool { return now.Sub(p.evacuation.Since) < evacuationGrace }
+func (p *Pool) inGrace(now time.Time) bool { return now.Sub(p.evacuation.Since) < p.config.evacuationGrace() }
 
 // returnJobs answers the pending jobs that an evacuation keeps from starting. It replaces shedLoad meanwhile.
 func (p *Pool) returnJobs(now time.Time) {
--- a/internal/pool/evacuation_schedule_test.go
+++ b/internal/pool/evacuation_schedule_test.go
@@ -47,7 +47,7 @@
 		return
 	}
 	sim.stats["starts in grace"]++
-	if after := sim.now.Sub(e.domain.Since); after >= evacuationGrace {
+	if after := sim.now.Sub(e.domain.Since); after >= testGrace {
 		e.late = cmp.Or(e.late, fmt.Errorf("%v was started on %s %s after its failure domain was evacuated", o.Task, o.Worker, after))
 	}
 }
--- a/internal/pool/evacuation_test.go
+++ b/internal/pool/evacuation_test.go
@@ -11,6 +11,9 @@
 	"tamarackpin.example/internal/worker"
 )
 
+// testGrace is the grace period for jobs that have begun where the platform states no bound.
+const testGrace = defaultEvacuationBound / 2
+
 // evacuate has the failure domain of the harness evacuated, by an order that was committed age ago.
 func (h *harness) evacuate(age time.Duration) {
 	d := h.pool.evacuation
@@ -126,11 +129,11 @@
 		}
 		if len(answers) > 0 {
 			after := h.now.Sub(committedAt)
-			if answers[0].Outcome != job.Abandoned || after < evacuationGrace || after > evacuationGrace+shedInterval+10*time.Millisecond {
-				t.Errorf("answer %+v after %s, want abandoned after %s", answers[0], after, evacuationGrace)
+			if answers[0].Outcome != job.Abandoned || after < testGrace || after > testGrace+shedInterval+10*time.Millisecond {
+				t.Errorf("answer %+v after %s, want abandoned after %s", answers[0], after, testGrace)
 			}
-			if lastStart < time.Second || lastStart >= evacuationGrace {
-				t.Errorf("the last start was after %s, want it within the grace of %s", lastStart, evacuationGrace)
+			if lastStart < time.Second || lastStart >= testGrace {
+				t.Errorf("the last start was after %s, want it within the grace of %s", lastStart, testGrace)
 			}
 			return
 		}
@@ -140,7 +143,7 @@
 
 // TestNoStartAfterEvacuationFromAnyPath guards against each path on which a task may start after the grace.
 func TestNoStartAfterEvacuationFromAnyPath(t *testing.T) {
-	const over = evacuationGrace
+	const over = testGrace
 	patient := func(tasks int) Request {
 		r := request("a", tasks, time.Second)
 		r.RemainingWait, r.Stretch = 30*time.Second, 20
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -70,6 +70,9 @@
 	// EvacuationUnknown reports that the process does not know yet which failure domains are evacuated. Nothing starts
 	// before [Pool.SetEvacuation].
 	EvacuationUnknown bool
+	// EvacuationBound is how long after an operator's order to evacuate the failure domain tasks may still start
+	// there, as the platform states it; 0 if it does not.
+	EvacuationBound time.Duration
 	// GateContact returns the contact with the gates that wait for an admission. Nil stands for uninterrupted
 	// contact.
 	GateContact func(now time.Time, a Admission) GateContact
--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -40,7 +40,7 @@
 			s.dropPool(now)
 			s.pool = pool.New(now, pool.Config{
 				Fence: claim.Fence, LeaseMax: g.config.LeaseMax, StopMax: g.config.StopMax, DividedAt: g.dividedAt, WorkersIncomplete: incomplete, FirstDispatcher: first, Crashes: &g.crashes, LateStarts: &g.lateStarts, Unclaimed: &g.unclaimed,
-				Interference: g.config.Interference, EvacuationUnknown: true,
+				Interference: g.config.Interference, EvacuationUnknown: true, EvacuationBound: g.config.EvacuationBound,
 				GateContact: func(now time.Time, a pool.Admission) pool.GateContact { return g.gateContact(now, s.waiters[a]) },
 			})
 			g.setEvacuation(now, s.pool)
--- a/tamarackpin/internal/group/group.go
+++ b/tamarackpin/internal/group/group.go
@@ -56,6 +56,8 @@
 	Log       *zap.Logger
 	LeaseMax  time.Duration // the longest lease that a worker grants
 	StopMax   time.Duration // the longest that a run goes on after its stop was acknowledged
+	// EvacuationBound is as in pool.Config.
+	EvacuationBound time.Duration
 	// Call sends an order to its worker and returns the reply, or an empty one if none
 	// came before ctx was done.
 	Call func(ctx context.Context, o pool.Order) pool.Reply
--- a/tamarackpin/internal/node/node.go
+++ b/tamarackpin/internal/node/node.go
@@ -101,7 +101,7 @@
 		}
 		n.group = group.New(now, group.Config{
 			Knowledge: n.Knowledge, Syncer: n.syncer, Mesh: n.mesh, Log: log,
-			LeaseMax: s.LeaseMax.Std(), StopMax: s.StopMax.Std(), Call: a.Order, SuspendedTime: suspendedTime, CallersKnownUntil: n.callers.until, Interference: s.Interference,
+			LeaseMax: s.LeaseMax.Std(), StopMax: s.StopMax.Std(), EvacuationBound: s.EvacuationBound.Std(), Call: a.Order, SuspendedTime: suspendedTime, CallersKnownUntil: n.callers.until, Interference: s.Interference,
 		}, &n.mux)
 		n.Gate = &gate.Gate{Group: n.group, Knowledge: n.Knowledge, Log: log, Mesh: n.mesh, OnAnswer: n.metrics.Job, CallerLeft: clientLeft, HoldCaller: n.callers.hold}
 		n.Gate.Register(&n.mux)
