--- a/internal/pool/evacuation.go
+++ b/internal/pool/evacuation.go
@@ -52,7 +52,9 @@
 	return !p.inGrace(now) || !j.begun() && !j.mayHaveStarted
 }
 
-func (p *Pool) inGrace(now time.Time) bool { return now.Sub(p.evacuation.Since) < p.config.evacuationGrace() }
+func (p *Pool) inGrace(now time.Time) bool {
+	return now.Sub(p.evacuation.Since) < p.config.evacuationGrace()
+}
 
 // returnJobs answers the pending jobs that an evacuation keeps from starting. It replaces shedLoad meanwhile.
 func (p *Pool) returnJobs(now time.Time) {
