--- a/tamarackpin/internal/group/claim.go
+++ b/tamarackpin/internal/group/claim.go
@@ -43,6 +43,7 @@
 				Interference: g.config.Interference, EvacuationUnknown: true, EvacuationBound: g.config.EvacuationBound,
 				GateContact: func(now time.Time, a pool.Admission) pool.GateContact { return g.gateContact(now, s.waiters[a]) },
 			})
+			s.withheld = withheldStarts{}
 			g.setEvacuation(now, s.pool)
 			s.fence, s.predecessor, s.runsInherited = claim.Fence, lead.Claim{}, false
 			if incomplete {
--- a/tamarackpin/internal/metrics/metrics.go
+++ b/tamarackpin/internal/metrics/metrics.go
@@ -37,6 +37,7 @@
 	response metric.Float64Histogram
 	service  metric.Float64Histogram
 	job      metric.Float64Histogram
+	offloads metric.Int64Counter
 }
 
 // Gauges are read at each scrape.
@@ -49,6 +50,8 @@
 	Evacuated func() int64
 	// PairsKnown and PlacedApart are those of pool.Counts; nil on a server without workers.
 	PairsKnown, PlacedApart func() int64
+	// Totals of evacuations; nil on VMs that have no part in them.
+	StartsWithheld, JobsMoved func() int64
 }
 
 // New returns Metrics that read g at each scrape.
@@ -75,6 +78,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "making a histogram")
 	}
+	m.offloads, err = meter.Int64Counter("tamarackpin.jobs.offloaded", metric.WithDescription("Jobs that were offered to another group, by outcome."))
+	if err != nil {
+		return nil, errors.Wrap(err, "making a counter")
+	}
 	return m, g.register(meter)
 }
 
@@ -90,6 +97,8 @@
 		{"tamarackpin.failure_domains.evacuated", "Failure domains that operators evacuate, as far as this VM knows.", g.Evacuated},
 		{"tamarackpin.interference.pairs", "Pairs of rows known to slow each other down, of the groups that this VM leads.", g.PairsKnown},
 		{"tamarackpin.interference.placed_apart", "Tasks placed on another worker because of such a pair, since this VM took over the groups that it leads.", g.PlacedApart},
+		{"tamarackpin.evacuation.starts_withheld", "Tasks that were not started since their failure domain is evacuated, since the process started.", g.StartsWithheld},
+		{"tamarackpin.evacuation.jobs_moved", "Jobs that were returned to be offloaded since their failure domain is evacuated, since the process started.", g.JobsMoved},
 	} {
 		if one.read == nil {
 			continue
@@ -124,6 +133,11 @@
 	m.job.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("row", string(r)), attribute.String("outcome", string(o))))
 }
 
+// Offload records what became of a job that was offered to another group.
+func (m *Metrics) Offload(outcome string) {
+	m.offloads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // Task records the end of a task on a target.
 func (m *Metrics) Task(k party.Key, c code.Code, d time.Duration) { record(m.service, k, c, d) }
 
