pool: who gives way when not all jobs can be in time

Cause: beyond capacity the job that came out late in the order of the objective deadlines was put behind or refused, whatever its row and its work: a surge of one row cost the others, and one large job displaced several small ones.

--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -34,6 +34,8 @@
 	j.expectedWork = j.criticalPath(func(s *job.Step) time.Duration { return p.estimator.Work(r.Row, s) })
 	j.objectiveDeadline = j.arrivedAt.Add(time.Duration(r.Stretch*float64(j.expectedWork)) + r.Latency)
 	createTasks(j)
+	j.work = j.totalWork(func(s *job.Step) time.Duration { return p.estimator.Work(r.Row, s) })
+	p.shares.add(now, r.Row, j.work)
 	if old := p.jobs[r.Job.ID]; old != nil {
 		j.inherit(old)
 	}
--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -124,25 +124,8 @@
 		p.refuseTooLate(now)
 		return
 	}
-	var late []*jobState
+	late, f := p.expectLate(now, queue, f)
 	before := make(forecast, len(f))
-	for _, j := range queue {
-		if j.begun() {
-			j.expectedLate = false
-			f.add(p, j)
-			continue
-		}
-		if j.expectedLate = j.deadlineClass(now) > 0; j.expectedLate {
-			late = append(late, j)
-			continue
-		}
-		copy(before, f)
-		if end := f.add(p, j); end.After(j.objectiveDeadline.Add(shedSlack)) {
-			j.expectedLate = true
-			late = append(late, j)
-			copy(f, before)
-		}
-	}
 	for _, j := range late {
 		switch {
 		case p.mayHaveStarted(now, j):
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -112,6 +112,7 @@
 	offloads   map[job.ID]offload // jobs of this group that another one may run
 	estimator  Estimator
 	tails      tails
+	shares     shares
 	crashes    *crash.Log
 	lateStarts *latestart.Log
 	unclaimed  *UnclaimedJobs
--- a/internal/pool/task.go
+++ b/internal/pool/task.go
@@ -108,6 +108,7 @@
 	callerDeadline    time.Time     // when the caller stops waiting
 	objectiveDeadline time.Time     // objective deadline (SLO): arrivedAt, plus Stretch times the expected work, plus Latency
 	expectedWork      time.Duration // of the longest chain of steps, on a worker of factor 1
+	work              float64       // expected core-seconds of all tasks, on workers of factor 1
 	tasks             []*task
 	mayHaveStarted    bool        // a task may have been started, here or by another dispatcher; it is not answered as not run then, see Pool.mayHaveStarted
 	expectedLate      bool        // expected to miss its objective deadline, given the work ahead of it; served after the others
