--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -39,6 +39,8 @@
 			p.demand.add(now, p.estimator.Work(r.Row, t.step))
 		}
 	}
+	j.work = j.totalWork(func(s *job.Step) time.Duration { return p.estimator.Work(r.Row, s) })
+	p.shares.add(now, r.Row, j.work)
 	if old := p.jobs[r.Job.ID]; old != nil {
 		j.inherit(old)
 	}
