--- a/internal/pool/evacuation.go
+++ b/internal/pool/evacuation.go
@@ -78,11 +78,8 @@
 		}
 		a = Answer{Outcome: job.Abandoned, Reason: reason}
 	case j.Offloaded || j.CanOffload:
-		a.TryElsewhere = true
 		p.Counts.JobsMoved++
-		if !j.Offloaded {
-			p.recordOffload(j)
-		}
+		p.tryElsewhere(j, &a)
 	}
 	for _, t := range j.tasks {
 		if t.phase == waiting {
--- a/internal/pool/forgotten_offloads_test.go
+++ b/internal/pool/forgotten_offloads_test.go
@@ -265,7 +265,7 @@
 	switch {
 	case a.TryElsewhere && !g.atDistant:
 		d.sim.stats["offloaded"]++
-		if a.OffloadTo != (Destination{}) {
+		if a.OffloadTo != (Destination{}) && !a.Offered {
 			d.sim.stats["offloaded again"]++
 		}
 		g.atDistant, g.request.CanOffload, g.pool = true, false, d.distantAt
--- a/internal/pool/jobs.go
+++ b/internal/pool/jobs.go
@@ -40,7 +40,9 @@
 		}
 	}
 	j.work = j.totalWork(func(s *job.Step) time.Duration { return p.estimator.Work(r.Row, s) })
-	p.shares.add(now, r.Row, j.work)
+	if !r.OffloadRefused && !r.MayBeRunning { // nor in its row
+		p.shares.add(now, r.Row, j.work)
+	}
 	if old := p.jobs[r.Job.ID]; old != nil {
 		j.inherit(old)
 	}
--- a/internal/pool/load_shedding.go
+++ b/internal/pool/load_shedding.go
@@ -136,10 +136,9 @@
 			f.add(p, j)
 			continue
 		case j.Offloaded, j.CanOffload && now.Sub(j.arrivedAt) < j.objectiveDeadline.Sub(j.arrivedAt)/2:
-			if !j.Offloaded {
-				p.recordOffload(j)
-			}
-			p.answer(now, j, Answer{Outcome: job.NotRun, Reason: "it would be late in this group", RetryAfter: minRetryAfter, TryElsewhere: true})
+			a := Answer{Outcome: job.NotRun, Reason: "it would be late in this group", RetryAfter: minRetryAfter}
+			p.tryElsewhere(j, &a)
+			p.answer(now, j, a)
 			continue
 		}
 		copy(before, f)
--- a/internal/pool/offloads.go
+++ b/internal/pool/offloads.go
@@ -25,6 +25,17 @@
 	p.offloads[j.Job.ID] = offload{j.OffloadTo, j.callerDeadline}
 }
 
+// tryElsewhere makes a the answer with which j is returned to its gate, to be offloaded, or to be offered to another group
+// by the gate that offloaded it here.
+func (p *Pool) tryElsewhere(j *jobState, a *Answer) {
+	a.TryElsewhere = true
+	if j.Offloaded {
+		return
+	}
+	p.recordOffload(j)
+	a.OffloadTo, a.Offered = j.OffloadTo, j.OffloadTo != Destination{}
+}
+
 // redirect returns a job to its gate that another group may be running, since it was offloaded for an earlier
 // try of its caller, and reports whether it did. That group answers both tries.
 func (p *Pool) redirect(now time.Time, r Request) (Admission, bool) {
@@ -32,8 +43,8 @@
 	switch {
 	case !offloaded || now.After(o.until):
 		return Admission{}, false
-	case r.OffloadRefused:
-		delete(p.offloads, r.Job.ID)
+	case r.OffloadRefused && (r.RefusedBy == (Destination{}) || o.to.SameGroup(r.RefusedBy)):
+		delete(p.offloads, r.Job.ID) // a refusal of another group is that of an earlier offload
 		return Admission{}, false
 	}
 	o.until = later(o.until, now.Add(r.RemainingWait))
--- a/internal/pool/offloads_test.go
+++ b/internal/pool/offloads_test.go
@@ -17,7 +17,7 @@
 	r := request("a", 1, 900*time.Millisecond)
 	r.CanOffload, r.OffloadTo = true, to
 	h.pool.Submit(h.now, r)
-	if _, answers := h.takePending(); len(answers) != 1 || !answers[0].TryElsewhere || answers[0].OffloadTo != (Destination{}) {
+	if _, answers := h.takePending(); len(answers) != 1 || !answers[0].TryElsewhere || answers[0].OffloadTo != to || !answers[0].Offered {
 		t.Fatalf("answers %+v, want one to try elsewhere", answers)
 	}
 	h.pool.Withdraw(h.now, ahead)
@@ -31,7 +31,7 @@
 	again.RemainingWait = 4 * time.Second
 	h.pool.Submit(h.now, again)
 	orders, answers := h.takePending()
-	if len(answers) != 1 || answers[0].Outcome != job.NotRun || !answers[0].TryElsewhere || answers[0].OffloadTo != to {
+	if len(answers) != 1 || answers[0].Outcome != job.NotRun || !answers[0].TryElsewhere || answers[0].OffloadTo != to || answers[0].Offered {
 		t.Errorf("answers to the second try: %+v, want one that names the group that may run it", answers)
 	}
 	for _, o := range orders {
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -28,7 +28,8 @@
 	if p.withholdsStarts(now, t.job) {
 		return // a run that is stopped could not start anywhere else
 	}
-	expected := time.Duration(float64(p.estimator.Work(t.job.Row, t.step)) * p.estimator.KindFactor(w.Kind))
+	slowdown := p.slowdownOn(now, w, t)
+	expected := time.Duration(float64(p.estimator.Work(t.job.Row, t.step)) * p.estimator.KindFactor(w.Kind) * slowdown)
 	if now.Sub(later(t.progressAt, t.orderedAt)) > stallTimeout+expected/25 {
 		w.stalls++
 		p.backOff(now, w, 2+2*w.stalls)
@@ -42,7 +43,7 @@
 	if float64(remaining) < restartFactor*float64(expected) {
 		return
 	}
-	p.observeRun(w, t, elapsed+remaining)
+	p.observeRun(w, t, time.Duration(float64(elapsed+remaining)/slowdown))
 	if now.Add(remaining).After(t.job.objectiveDeadline) && p.isSlow(now, w, t) {
 		t.stoppedSlow = true
 		p.stopTask(now, t)
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -35,6 +35,9 @@
 	// OffloadRefused reports that the group to which the job was offloaded has not run it and
 	// won't.
 	OffloadRefused bool `json:",omitempty"`
+	// RefusedBy is the group that has refused the job, with OffloadRefused; zero from gates of earlier builds, and to
+	// dispatchers of earlier builds, which refuse the field.
+	RefusedBy Destination `json:",omitzero"`
 	// Offloaded reports that the job was offloaded here by another group: it is
 	// refused at once if it would be late here.
 	Offloaded bool `json:"Guest"`
@@ -55,7 +58,10 @@
 	Reason       string        // for the log and the caller
 	RetryAfter   time.Duration // of a refused job: when the caller may try again
 	TryElsewhere bool          `json:"Elsewhere"` // of a refused job: another group may still meet the objective deadline
-	OffloadTo    Destination   `json:",omitzero"` // of a job with TryElsewhere: the group that may be running it since an earlier try; zero if none
+	OffloadTo    Destination   `json:",omitzero"` // of a job with TryElsewhere: the group that it is offloaded to, or that may be running it since an earlier try
+	// Offered reports that OffloadTo is the choice of the Request, and that no other try of the job was offloaded there. Only
+	// the first of several gates that wait for the job has it.
+	Offered bool `json:",omitempty"`
 	// FreeSlots is that of a Report of a group that returns a job that was offloaded to it; nil otherwise, and from builds of
 	// before. Earlier builds ignore it, as it is in a reply.
 	FreeSlots *int         `json:",omitempty"`
--- a/internal/pool/tails.go
+++ b/internal/pool/tails.go
@@ -84,6 +84,7 @@
 // estimate, and of which nothing else is known. Estimates are off by uncertainty: up to that, the run
 // may be an ordinary one.
 func (l *tails) remaining(r routes.RowName, elapsed, estimate time.Duration) time.Duration {
+	estimate = max(estimate, time.Microsecond) // a divisor
 	ordinary := max(0, time.Duration(uncertainty*float64(estimate))-elapsed)
 	long := max(0, time.Duration(l.rows[r].factor*float64(estimate))-elapsed)
 	// Half of the ordinary runs take longer than their estimate, and fewer the longer it has been.
--- a/tamarackpin/internal/fleet/sync.go
+++ b/tamarackpin/internal/fleet/sync.go
@@ -40,8 +40,8 @@
 	Reports           []pool.Report   `json:"reports,omitempty"` // of the groups that the sender leads
 	// Division is the newest of the sender's failure domain that the sender knows.
 	Division lead.Division `json:"division,omitzero"`
-	// Evacuations is the newest revision of the evacuations that the sender knows. It is not 0 only where the control VMs are of a
-	// build that knows the field: earlier ones refuse it.
+	// Evacuations is the newest revision of the evacuations that the sender knows, 0 in calls to processes that have not
+	// said that they read the field: earlier builds refuse it.
 	Evacuations evacuation.Revision `json:"evacuations,omitempty"`
 	Wait        wire.Duration       `json:"wait,omitempty"` // longest delay of the reply while nothing urgent changes
 }
@@ -62,6 +62,8 @@
 	Reports      []agedReport    `json:"reports,omitempty"` // of groups that the requester doesn't lead
 	// Division is that of the requester's failure domain, if newer than requested.
 	Division lead.Division `json:"division,omitzero"`
+	// ReadsEvacuations reports that the sender reads the field Evacuations of calls.
+	ReadsEvacuations bool `json:"reads_evacuations,omitempty"`
 	// Evacuations has all evacuations, if the sender knows a higher revision than the requester.
 	Evacuations []evacuation.Record `json:"evacuations,omitempty"`
 }
@@ -131,7 +133,7 @@
 	if req.CursorIncarnation != k.self.Incarnation {
 		req.VMCursor, req.WorkerCursor = 0, 0
 	}
-	reply = syncReply{Self: k.self, VMCursor: k.roster.Cursor(), WorkerCursor: k.registry.Cursor()}
+	reply = syncReply{Self: k.self, ReadsEvacuations: true, VMCursor: k.roster.Cursor(), WorkerCursor: k.registry.Cursor()}
 	urgent = k.addTable(&reply, req)
 	if d := k.divisions[req.Self.FailureDomain]; d.Epoch > req.Division.Epoch {
 		reply.Division, urgent = d, true
--- a/tamarackpin/internal/fleet/syncer.go
+++ b/tamarackpin/internal/fleet/syncer.go
@@ -117,12 +117,15 @@
 // control VM. Lost and regained contact are logged once each.
 func (s *Syncer) syncLoop(ctx context.Context, id vm.ID) {
 	var req syncRequest
-	unreachable, hurriesSeen := false, 0
+	unreachable, hurriesSeen, readsEvacuations := false, 0, false
 	for ctx.Err() == nil && s.isControlVM(id) {
 		req.Self = s.Knowledge.Self()
 		req.Reports = s.Knowledge.ownReports()
 		req.Division = s.Knowledge.Division(req.Self.FailureDomain)
-		req.Evacuations = s.Knowledge.Evacuations().Revision()
+		req.Evacuations = 0
+		if readsEvacuations {
+			req.Evacuations = s.Knowledge.Evacuations().Revision()
+		}
 		req.Wait = wire.Duration(s.wait())
 		hurries, hurried := s.hurry()
 		if hurries != hurriesSeen {
@@ -138,7 +141,7 @@
 			if !unreachable && ctx.Err() == nil {
 				event.Log(s.Log, event.ControlLost, zap.String("vm", string(id)), event.Err(err))
 			}
-			unreachable = true
+			unreachable, readsEvacuations = true, false // the next process may be of an earlier build
 			select {
 			case <-ctx.Done():
 			case <-time.After(retryInterval):
@@ -150,6 +153,7 @@
 			unreachable = false
 		}
 		now := time.Now()
+		readsEvacuations = reply.ReadsEvacuations
 		s.Knowledge.merge(now, reply)
 		s.recordContact(sentAt, now) // after the merge: it says that the workers of the reply are known
 		s.recordReply(now, id)
--- a/tamarackpin/internal/gate/gate.go
+++ b/tamarackpin/internal/gate/gate.go
@@ -137,6 +137,7 @@
 	age := r.Age
 	noLeaderSince := time.Time{}
 	var tried []pool.Destination // that have not run the job
+	var refusedBy pool.Destination
 	failures := 0
 	var earlier []group.Leader // that may have started the job
 	unserved := func() pool.Answer {
@@ -163,7 +164,12 @@
 		}
 		noLeaderSince = time.Time{}
 		spare, hasSpare := g.chooseGroup(now, leader.Group, r, tried)
-		r.CanOffload, r.OffloadTo = hasSpare && !r.MayBeRunning, spare.Destination()
+		r.CanOffload, r.OffloadTo, r.RefusedBy = hasSpare && !r.MayBeRunning, spare.Destination(), pool.Destination{}
+		if g.Group.ReadsRefusedBy(leader) {
+			r.RefusedBy = refusedBy
+		} else if len(tried) > 0 {
+			r.CanOffload = false // a dispatcher of an earlier build takes a refusal for that of the newest offload
+		}
 		if r.MayBeRunning {
 			r.EarlierContactAge = g.Group.ContactAge(now, earlier, leader)
 		}
@@ -176,24 +182,27 @@
 			if g.callerLeft(ctx) {
 				return unserved()
 			}
-			if earlierTry := result.Answer.OffloadTo; earlierTry != (pool.Destination{}) {
-				spare = g.Knowledge.ReportOf(now, earlierTry)
-			} else if !r.CanOffload { // another gate waits for the job, and offloads it
+			to := result.Answer.OffloadTo
+			mayRunThere := to != pool.Destination{} && !(result.Answer.Offered && r.CanOffload && to.SameGroup(spare.Destination()))
+			switch {
+			case mayRunThere: // offloaded by another gate, or for an earlier try
+				spare = g.Knowledge.ReportOf(now, to)
+			case !r.CanOffload: // another gate waits for the job, and offloads it
 				if !wait(ctx, nil, retryInterval) {
 					return unserved()
 				}
 				continue
 			}
-			if a, ok := g.offload(ctx, now, result.Answer.OffloadTo, spare, r); ok {
+			if a, ok := g.offload(ctx, now, mayRunThere, spare, r); ok {
 				return a
 			}
 			tried = append(tried, spare.Destination())
-			r.OffloadRefused = true
+			r.OffloadRefused, refusedBy = true, spare.Destination()
 			continue
 		}
 		r.MayBeRunning = r.MayBeRunning || result.MayBeRunning
 		if result.MayBeRunning {
-			r.OffloadRefused = false // reported by this call; a later try may have been offloaded since
+			r.OffloadRefused, refusedBy = false, pool.Destination{} // reported by this call; a later try may have been offloaded since
 			earlier = append(earlier, leader)
 		}
 		if result.DispatcherFailed {
--- a/tamarackpin/internal/gate/gate_test.go
+++ b/tamarackpin/internal/gate/gate_test.go
@@ -94,10 +94,10 @@
 	g := &Gate{Group: group.New(time.Now(), group.Config{Knowledge: k, Syncer: &fleet.Syncer{Knowledge: k, Log: zap.NewNop()}, Mesh: m, Log: zap.NewNop()}, &x), Knowledge: k, Log: zap.NewNop()}
 	r := pool.Request{Job: job.Job{ID: "a"}, RemainingWait: time.Second}
 	spare := pool.Report{FailureDomain: "a", Group: 1, VM: "ip-0a000002"}
-	if a, ok := g.offload(t.Context(), time.Now(), pool.Destination{}, spare, r); ok {
+	if a, ok := g.offload(t.Context(), time.Now(), false, spare, r); ok {
 		t.Errorf("first try, which was not sent: answer %+v, want none", a)
 	}
-	if a, ok := g.offload(t.Context(), time.Now(), spare.Destination(), spare, r); !ok || a.Outcome != job.Abandoned {
+	if a, ok := g.offload(t.Context(), time.Now(), true, spare, r); !ok || a.Outcome != job.Abandoned {
 		t.Errorf("later try, which was not sent: answer %+v, %v, want abandoned", a, ok)
 	}
 }
--- a/tamarackpin/internal/gate/offload.go
+++ b/tamarackpin/internal/gate/offload.go
@@ -31,16 +31,15 @@
 	return c.Report, ok
 }
 
-// offload forwards a job, returned by its own group with TryElsewhere, to the group in spare. That is the group of earlier, which
-// may be running the job since an earlier try, unless earlier is zero. ok is false if that group did not run the job and will not.
+// offload forwards a job, returned by its own group with TryElsewhere, to the group in spare, which may be running it already
+// if mayRunThere is set: by another gate, or for an earlier try of its caller. ok is false if that group did not run the job and will not.
 // If its fate is unknown, offload returns a final answer, as running it in its own group could run it
 // twice. now is when the caller was last known to be connected.
-func (g *Gate) offload(ctx context.Context, now time.Time, earlier pool.Destination, spare pool.Report, r pool.Request) (a pool.Answer, ok bool) {
-	mayRunThere := earlier != pool.Destination{}
+func (g *Gate) offload(ctx context.Context, now time.Time, mayRunThere bool, spare pool.Report, r pool.Request) (a pool.Answer, ok bool) {
 	if !mayRunThere {
 		g.updateBalancer(func(b *offload.Balancer) { b.RecordSent(now, spare.Destination(), r.Job.TaskCount()) })
 	}
-	r.CanOffload, r.Offloaded, r.EarlierContactAge = false, true, 0 // that VM may be of a build that refuses the field
+	r.CanOffload, r.Offloaded, r.EarlierContactAge, r.RefusedBy = false, true, 0, pool.Destination{} // that VM may be of a build that refuses the fields
 	result := g.Group.Offload(ctx, now, spare, g.lastCall.Add(1), r)
 	event.Log(g.Log, event.JobSpilled, zap.String("job", string(r.Job.ID)), zap.String("failure_domain", string(spare.FailureDomain)), zap.Int("group", int(spare.Group)),
 		zap.Int("free_places", spare.FreeSlots), zap.Bool("again", mayRunThere), zap.Bool("answered", result.Answered), zap.String("outcome", string(result.Answer.Outcome)), zap.String("reason", result.Answer.Reason))
@@ -80,7 +79,7 @@
 // recordReturned records that a group has not run a job. If it tells that it has capacity, it did not return the job for want of it,
 // and others may still be offloaded to it.
 func (g *Gate) recordReturned(now time.Time, spare pool.Report, a pool.Answer) {
-	if a.FreeSlots != nil {
+	if a.FreeSlots != nil && spare.Fence != 0 { // 0 if there is no report of the group
 		spare.FreeSlots = *a.FreeSlots
 		g.Knowledge.RecordReport(now, spare)
 		if spare.AcceptsOffload() {
--- a/tamarackpin/internal/gate/offload_refused_test.go
+++ b/tamarackpin/internal/gate/offload_refused_test.go
@@ -29,6 +29,7 @@
 		Claims          []lead.Claim   `json:"claims"`
 		Made            map[string]any `json:"made,omitempty"`
 		ReadsContactAge bool           `json:"reads_contact_age,omitempty"`
+		ReadsRefusedBy  bool           `json:"reads_refused_by,omitempty"`
 	}
 	runRequest struct {
 		Ticket  group.Ticket `json:"ticket"`
@@ -49,9 +50,12 @@
 type standInLeader struct {
 	answer          func(try int, r pool.Request) runReply
 	readsContactAge bool
+	readsRefusedBy  bool
 
 	mu    sync.Mutex // guards calls
 	calls []pool.Request
+	// offloadedTo has the groups of the jobs that were offloaded to the stand-in.
+	offloadedTo []lead.Group
 }
 
 // serve starts the stand-in on a loopback address and returns a gate that follows it.
@@ -65,7 +69,7 @@
 	var x peer.Mux
 	(&Gate{}).Register(&x)
 	peer.Handle(&x, "group.exchange", func(context.Context, vm.ID, map[string]any) (heartbeatReply, error) {
-		reply := heartbeatReply{Self: self, Claims: []lead.Claim{{Fence: 7, VM: self.VM, Incarnation: self.Incarnation}}, ReadsContactAge: s.readsContactAge}
+		reply := heartbeatReply{Self: self, Claims: []lead.Claim{{Fence: 7, VM: self.VM, Incarnation: self.Incarnation}}, ReadsContactAge: s.readsContactAge, ReadsRefusedBy: s.readsRefusedBy}
 		if s.readsContactAge {
 			reply.Made = map[string]any{"incarnation": self.Incarnation, "age": (time.Second + time.Since(startedAt)).String()}
 		}
@@ -76,6 +80,9 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.calls = append(s.calls, r.Request)
+		if r.Request.Offloaded {
+			s.offloadedTo = append(s.offloadedTo, r.Group)
+		}
 		reply := s.answer(len(s.calls), r.Request)
 		reply.Answer.Job = r.Request.Job.ID
 		return reply, nil
@@ -157,7 +164,7 @@
 // TestJobIsOfferedToThreeGroups guards against a job that is offered to one group twice, to more than three, or on from a
 // group that has it, and against an offer of which the home group is not told before.
 func TestJobIsOfferedToThreeGroups(t *testing.T) {
-	s := &standInLeader{answer: func(_ int, r pool.Request) runReply {
+	s := &standInLeader{readsRefusedBy: true, answer: func(_ int, r pool.Request) runReply {
 		if r.Offloaded || r.CanOffload {
 			return runReply{Answer: pool.Answer{Outcome: job.NotRun, TryElsewhere: true}, Answered: true, Admitted: true}
 		}
@@ -180,6 +187,8 @@
 		switch {
 		case r.Offloaded == home, r.CanOffload != (home && i < 6), r.OffloadRefused != (i > 0) && home:
 			t.Errorf("call %d: offloaded %v, can be offloaded %v, refused elsewhere %v", i, r.Offloaded, r.CanOffload, r.OffloadRefused)
+		case home && i > 0 && r.RefusedBy != s.calls[i-1].OffloadTo, !home && r.RefusedBy != pool.Destination{}:
+			t.Errorf("call %d: refused by %+v, want the group of the call before, told to the home group only", i, r.RefusedBy)
 		case home && i < 6 && told[r.OffloadTo]:
 			t.Errorf("call %d: offered to %+v twice", i, r.OffloadTo)
 		case !home && r.OffloadTo != s.calls[i-1].OffloadTo:
@@ -189,10 +198,56 @@
 	}
 }
 
+// TestJobIsOfferedOnceBeforeEarlierBuild guards against a second offload of a job whose home group has a dispatcher of an earlier build: it takes a
+// refusal for that of the newest offload, and fields that it does not know for a fault.
+func TestJobIsOfferedOnceBeforeEarlierBuild(t *testing.T) {
+	s := &standInLeader{answer: func(_ int, r pool.Request) runReply {
+		if r.Offloaded || r.CanOffload {
+			return runReply{Answer: pool.Answer{Outcome: job.NotRun, TryElsewhere: true}, Answered: true, Admitted: true}
+		}
+		return runReply{Answer: pool.Answer{Outcome: job.Completed}, Answered: true, Admitted: true}
+	}}
+	g := s.serve(t)
+	for _, d := range []vm.FailureDomain{"b", "c"} {
+		g.Knowledge.RecordReport(time.Now(), pool.Report{FailureDomain: d, VM: "ip-0a000002", Fence: 7, FreeSlots: 100})
+	}
+	if a := g.Run(t.Context(), pool.Request{Job: job.Job{ID: "a", Steps: []job.Step{{Count: 4}}}, RemainingWait: 10 * time.Second}); a.Outcome != job.Completed {
+		t.Fatalf("answer %+v, want completed", a)
+	}
+	if len(s.calls) != 3 {
+		t.Errorf("%d calls, want one offer between two calls to the home group", len(s.calls))
+	}
+	for i, r := range s.calls {
+		if r.RefusedBy != (pool.Destination{}) {
+			t.Errorf("call %d names the group that refused the job", i)
+		}
+	}
+}
+
+// TestSecondGateFollowsFirst guards against a gate that offloads a job to a group of its own choice although another gate waits for the
+// job as well and offloads it to another group.
+func TestSecondGateFollowsFirst(t *testing.T) {
+	choice := pool.Destination{FailureDomain: "c", Group: 5, VM: "ip-0a000002"}
+	s := &standInLeader{readsRefusedBy: true, answer: func(_ int, r pool.Request) runReply {
+		if r.Offloaded {
+			return runReply{Answer: pool.Answer{Outcome: job.Completed}, Answered: true, Admitted: true}
+		}
+		return runReply{Answer: pool.Answer{Outcome: job.NotRun, TryElsewhere: true, OffloadTo: choice, Offered: true}, Answered: true, Admitted: true}
+	}}
+	g := s.serve(t)
+	g.Knowledge.RecordReport(time.Now(), pool.Report{FailureDomain: "b", VM: "ip-0a000002", Fence: 7, FreeSlots: 100})
+	if a := g.Run(t.Context(), pool.Request{Job: job.Job{ID: "a", Steps: []job.Step{{Count: 4}}}, RemainingWait: 10 * time.Second}); a.Outcome != job.Completed {
+		t.Fatalf("answer %+v, want completed", a)
+	}
+	if !slices.Equal(s.offloadedTo, []lead.Group{choice.Group}) {
+		t.Errorf("offloaded to the groups %v, want %d, which the answer names", s.offloadedTo, choice.Group)
+	}
+}
+
 // TestEvacuatedJobIsOfferedElsewhere guards against a job of an evacuated failure domain that goes to a group of that failure domain or of
 // another evacuated one, or to none because no group reports capacity, and against a refusal that is late or without Retry-After.
 func TestEvacuatedJobIsOfferedElsewhere(t *testing.T) {
-	s := &standInLeader{answer: func(_ int, r pool.Request) runReply {
+	s := &standInLeader{readsRefusedBy: true, answer: func(_ int, r pool.Request) runReply {
 		a := pool.Answer{Outcome: job.NotRun, RetryAfter: time.Second, TryElsewhere: r.CanOffload || r.Offloaded}
 		return runReply{Answer: a, Answered: true, Admitted: true}
 	}}
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -55,6 +55,8 @@
 	ReadsContactAge bool `json:"reads_contact_age,omitempty"`
 	// Withdrawn is as in forwardRequest.
 	Withdrawn []uint64 `json:"withdrawn,omitempty"`
+	// ReadsRefusedBy is set in replies only, as ReadsContactAge. The sender reads the field RefusedBy of a forwarded request.
+	ReadsRefusedBy bool `json:"reads_refused_by,omitempty"`
 	// ReadsWithdrawals is set in replies only, as ReadsContactAge. The sender reads the field Withdrawn of all messages.
 	ReadsWithdrawals bool `json:"reads_withdrawals,omitempty"`
 	evacuationNews
@@ -204,7 +206,7 @@
 	now := time.Now()
 	reply := g.heartbeatMade(hb.Self.VM, g.replyStamp(hb.Self.VM, now))
 	reply.evacuationNews = g.evacuationsSince(now, hb.EvacuationRevision)
-	reply.ReadsContactAge, reply.ReadsWithdrawals, reply.ReadsEvacuations = true, true, true
+	reply.ReadsContactAge, reply.ReadsWithdrawals, reply.ReadsEvacuations, reply.ReadsRefusedBy = true, true, true, true
 	return reply, nil
 }
 
@@ -219,10 +221,11 @@
 	if !g.announcesSuccessor(hb) {
 		_ = g.hear(ctx, sender, madeAt, hb.Withdrawn) // if it fails, the message does not count as contact
 	}
-	if hb.ReadsContactAge || hb.ReadsWithdrawals {
+	if hb.ReadsContactAge || hb.ReadsWithdrawals || hb.ReadsRefusedBy {
 		g.contacts.update(sender, func(c *lastContact) {
 			c.readsContactAge = c.readsContactAge || hb.ReadsContactAge
 			c.readsWithdrawals = c.readsWithdrawals || hb.ReadsWithdrawals
+			c.readsRefusedBy = c.readsRefusedBy || hb.ReadsRefusedBy
 		})
 	}
 	g.receiveEvacuations(now, sender, hb.evacuationNews)
--- a/tamarackpin/internal/group/last_contact.go
+++ b/tamarackpin/internal/group/last_contact.go
@@ -42,6 +42,8 @@
 	datedAt time.Time
 	// readsContactAge reports that the process reads the field EarlierContactAge of pool.Request.
 	readsContactAge bool
+	// readsRefusedBy reports that the process reads the field RefusedBy of pool.Request.
+	readsRefusedBy bool
 	// readsWithdrawals reports that the process reads the list of withdrawals in messages.
 	readsWithdrawals bool
 	// readsEvacuations reports that the process reads evacuations in heartbeats, and evacuationRevision is the newest that it
--- a/tamarackpin/internal/group/shown_contact.go
+++ b/tamarackpin/internal/group/shown_contact.go
@@ -191,6 +191,11 @@
 	return since.IsZero() || now.Sub(since) < exchangeTimeout
 }
 
+// ReadsRefusedBy reports whether the dispatcher to is known to read the field RefusedBy of a request.
+func (g *Group) ReadsRefusedBy(to Leader) bool {
+	return to.VM == g.self.VM || g.contacts.of(process{to.VM, to.Claim.Incarnation}).readsRefusedBy
+}
+
 // ContactAge returns how long ago this VM last showed contact to any dispatcher, other than the one in to, that has had a job. It
 // returns zero if the process in to is not known to read it, or if an earlier dispatcher sends no stamps, and so may count
 // a message as of its arrival. It returns contactLifetime at most.
--- a/tamarackpin/internal/group/state.go
+++ b/tamarackpin/internal/group/state.go
@@ -73,7 +73,8 @@
 // deliverAnswers passes answers to the gates that wait for them.
 func (s *groupState) deliverAnswers(answers []pool.Answer) {
 	for _, a := range answers {
-		for _, w := range s.waiters[a.Admission] {
+		for i, w := range s.waiters[a.Admission] {
+			a.Offered = a.Offered && i == 0 // the choice is that of the first gate
 			w.done <- result{answer: a}
 			delete(s.admissions, w.ticket)
 		}
--- a/tamarackpin/internal/keeper/evacuate.go
+++ b/tamarackpin/internal/keeper/evacuate.go
@@ -16,6 +16,11 @@
 // followed by the end of its connection one round trip later, 6 ms to the operators that are farthest away.
 const disconnectDelay = 20 * time.Millisecond
 
+// reproposeLimit is how long after its arrival an order is proposed again that another one has overtaken. Operators
+// send an order again, to any control VM, after a second without a reply, and a connection that a partition has cut
+// looks open.
+const reproposeLimit = time.Second
+
 // Evacuate orders that nothing new is started on the workers of a failure domain or, if evacuate is false, withdraws that.
 // It returns nil once the order is on a majority of the disks and is the newest one of its failure domain.
 // Otherwise the order is to be sent again; code.UnknownFailureDomain says that there is no such
@@ -43,6 +48,7 @@
 // proposeOrder proposes o until it is applied, each time with the newest revision. o.Known is the revision of its failure
 // domain afterwards, as far as it is known.
 func (k *Keeper) proposeOrder(ctx context.Context, o *order, waiting func() bool) (proposals int, refusal *code.Error) {
+	startedAt := time.Now()
 	if refusal := k.checkFailureDomain(o.FailureDomain); refusal != nil {
 		return 0, refusal
 	}
@@ -63,6 +69,9 @@
 		if o.Known = result.Revision; result.Applied {
 			return proposals, nil
 		}
+		if time.Since(startedAt) > reproposeLimit {
+			return proposals, code.New(code.TableUnavailable, "another order of the failure domain was applied meanwhile, so this one was not")
+		}
 	}
 }
 
--- a/tamarackpin/internal/keeper/keeper.go
+++ b/tamarackpin/internal/keeper/keeper.go
@@ -110,8 +110,8 @@
 // settle publishes the state on this VM. A leader also notes in the log which members store
 // evacuations.
 func (k *Keeper) settle(now time.Time, core *quorum.Core) {
+	k.config.Knowledge.SetEvacuations(k.state.orders.set) // before the table, with which VMs take the set for known
 	k.config.Knowledge.AdoptTable(k.state.table, k.self)
-	k.config.Knowledge.SetEvacuations(k.state.orders.set)
 	k.proposeStoring(now, core)
 }
 
