--- a/tamarackpin/internal/group/evacuations.go
+++ b/tamarackpin/internal/group/evacuations.go
@@ -7,9 +7,9 @@
 	"tamarackpin.example/internal/vm"
 )
 
-// evacuationNews is the part of a heartbeat about the failure domains that operators evacuate. It is the zero value in calls
+// evacuationUpdate is the part of a heartbeat about the failure domains that operators evacuate. It is the zero value in calls
 // to processes that are not known to read it: earlier builds refuse such a call.
-type evacuationNews struct {
+type evacuationUpdate struct {
 	// EvacuationRevision is the newest that the sender knows.
 	EvacuationRevision evacuation.Revision `json:"evacuation_revision,omitempty"`
 	// Evacuations has all evacuations, unless the receiver is known to know that revision.
@@ -19,31 +19,31 @@
 }
 
 // evacuationsFor returns what a call to another entry VM tells of the evacuations.
-func (g *Group) evacuationsFor(now time.Time, to vm.ID) evacuationNews {
+func (g *Group) evacuationsFor(now time.Time, to vm.ID) evacuationUpdate {
 	c := g.contacts.of(process{to, g.contacts.newestOf(to).Incarnation})
 	if !c.readsEvacuations {
-		return evacuationNews{}
+		return evacuationUpdate{}
 	}
 	return g.evacuationsSince(now, c.evacuationRevision)
 }
 
 // evacuationsSince returns what a process that knows the evacuations of a revision is told.
-func (g *Group) evacuationsSince(now time.Time, known evacuation.Revision) evacuationNews {
+func (g *Group) evacuationsSince(now time.Time, known evacuation.Revision) evacuationUpdate {
 	set := g.config.Knowledge.Evacuations()
-	news := evacuationNews{EvacuationRevision: set.Revision()}
-	if news.EvacuationRevision > known {
-		news.Evacuations = set.Records(now)
+	update := evacuationUpdate{EvacuationRevision: set.Revision()}
+	if update.EvacuationRevision > known {
+		update.Evacuations = set.Records(now)
 	}
-	return news
+	return update
 }
 
 // receiveEvacuations records what a heartbeat says of the evacuations.
-func (g *Group) receiveEvacuations(now time.Time, sender process, news evacuationNews) {
-	if news.ReadsEvacuations || news.EvacuationRevision > 0 {
+func (g *Group) receiveEvacuations(now time.Time, sender process, update evacuationUpdate) {
+	if update.ReadsEvacuations || update.EvacuationRevision > 0 {
 		g.contacts.update(sender, func(c *lastContact) {
-			c.readsEvacuations = c.readsEvacuations || news.ReadsEvacuations
-			c.evacuationRevision = max(c.evacuationRevision, news.EvacuationRevision)
+			c.readsEvacuations = c.readsEvacuations || update.ReadsEvacuations
+			c.evacuationRevision = max(c.evacuationRevision, update.EvacuationRevision)
 		})
 	}
-	g.config.Knowledge.SetEvacuations(evacuation.OfRecords(now, news.Evacuations))
+	g.config.Knowledge.SetEvacuations(evacuation.OfRecords(now, update.Evacuations))
 }
--- a/tamarackpin/internal/group/exchange.go
+++ b/tamarackpin/internal/group/exchange.go
@@ -59,14 +59,14 @@
 	ReadsRefusedBy bool `json:"reads_refused_by,omitempty"`
 	// ReadsWithdrawals is set in replies only, as ReadsContactAge. The sender reads the field Withdrawn of all messages.
 	ReadsWithdrawals bool `json:"reads_withdrawals,omitempty"`
-	evacuationNews
+	evacuationUpdate
 }
 
 // heartbeat returns a heartbeat for another entry VM.
 func (g *Group) heartbeat(to vm.ID) heartbeat {
 	now := time.Now()
 	hb := g.heartbeatMade(to, g.stampFor(to, now))
-	hb.evacuationNews = g.evacuationsFor(now, to)
+	hb.evacuationUpdate = g.evacuationsFor(now, to)
 	return hb
 }
 
@@ -205,7 +205,7 @@
 	g.receiveHeartbeat(ctx, hb)
 	now := time.Now()
 	reply := g.heartbeatMade(hb.Self.VM, g.replyStamp(hb.Self.VM, now))
-	reply.evacuationNews = g.evacuationsSince(now, hb.EvacuationRevision)
+	reply.evacuationUpdate = g.evacuationsSince(now, hb.EvacuationRevision)
 	reply.ReadsContactAge, reply.ReadsWithdrawals, reply.ReadsEvacuations, reply.ReadsRefusedBy = true, true, true, true
 	return reply, nil
 }
@@ -228,7 +228,7 @@
 			c.readsRefusedBy = c.readsRefusedBy || hb.ReadsRefusedBy
 		})
 	}
-	g.receiveEvacuations(now, sender, hb.evacuationNews)
+	g.receiveEvacuations(now, sender, hb.evacuationUpdate)
 	g.config.Knowledge.ObserveVM(now, hb.Self, 0)
 	_ = g.ring.Put(ctx, func(g *Group, now time.Time) { g.applyHeartbeat(now, hb) })
 	g.config.Syncer.TableAnnounced(ctx, hb.Self.VM, hb.Version)
