--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -1,6 +1,6 @@
 // Package evacuation holds the failure domains that operators evacuate: nothing new may start on
 // their workers until the evacuation is withdrawn. A [Set] is one state of all of them and never
-// changes; of two, the one with the higher [Revision] is in force. Package keeper stores it on the
+// changes; of two orders for a failure domain, the one with the higher [Revision] is in force. Package keeper stores it on the
 // control VMs' disks, package fleet distributes it.
 package evacuation
 
