review: case 14, a job of a removed route cannot be cancelled

Rule: UNASKED, starts later than cancel_ms after the cancelling had waited AckMs for its acknowledgement. Disruption: one change of the configuration, which removes the route.

--- a/review/third/deployment.go
+++ b/review/third/deployment.go
@@ -14,7 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -49,12 +49,11 @@
 	controls   []*machine
 	entries    []*machine
 	runners    []*runner
-	host, path string // of the one route
+	host, path string   // of the first route
+	prefixes   []string // of the other routes
 	service    string
 	guards     bool
 
-	mu    sync.Mutex // guards jobs
-	sent  int
 	seeds []string
 }
 
@@ -211,7 +210,7 @@
 			return err
 		}
 	}
-	if err := d.configure(7); err != nil {
+	if err := d.configure(7, d.prefixes...); err != nil {
 		return err
 	}
 	for _, m := range d.entries {
@@ -252,14 +251,18 @@
 	return fmt.Errorf("%s does not become ready", m.name)
 }
 
-// configure sends the configuration until it is acknowledged.
-func (d *deployment) configure(version int) error {
+// configure sends the configuration, with a route for each prefix of a path, until it is acknowledged.
+func (d *deployment) configure(version int, prefixes ...string) error {
+	routes := []any{}
+	for i, prefix := range append([]string{d.path}, prefixes...) {
+		routes = append(routes, map[string]any{
+			"Name": fmt.Sprint("r-", i+1), "Host": d.host, "PathPrefix": prefix, "Kind": "non_idempotent", "TimeoutMs": 8000, "TargetLatencyMs": 60,
+			"Priority": 0, "Service": d.service, "MaxAttempts": 3, "Stretch": 1.6,
+		})
+	}
 	b, _ := json.Marshal(map[string]any{
 		"Version": version,
-		"Routes": []any{map[string]any{
-			"Name": "r-1", "Host": d.host, "PathPrefix": d.path, "Kind": "non_idempotent", "TimeoutMs": 8000, "TargetLatencyMs": 60,
-			"Priority": 0, "Service": d.service, "MaxAttempts": 3, "Stretch": 1.6,
-		}},
+		"Routes":  routes,
 		"Services": []any{map[string]any{
 			"Name": d.service, "HealthPath": "/healthz", "MaxConns": 64, "Protocol": "h1", "Tls": false, "AdmissionCheck": d.guards, "Standby": false,
 		}},
@@ -288,7 +291,7 @@
 	ms    int
 	need  capacity
 	label string
-	text  string
+	steps int // each depends on the one before; 0 is one
 }
 
 // answer is what a caller receives.
@@ -303,29 +306,44 @@
 	if a.err != nil {
 		return "no response: " + a.err.Error()
 	}
-	return fmt.Sprintf("%d %s", a.status, a.state)
+	return strings.TrimSpace(fmt.Sprintf("%d %s", a.status, a.state))
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
 // submit sends a job to an entry VM, on a connection of its own, as the balancer does.
 func (d *deployment) submit(m *machine, id string, j job, deadline time.Duration) answer {
-	s, _ := json.Marshal(spec{Ms: j.ms, Need: j.need, Text: j.text})
-	step := map[string]any{"Count": j.tasks, "Cpu": j.need.Cpu, "MemMb": j.need.MemMb, "EstimateMs": j.ms}
-	if j.label != "" {
-		step["RequiredLabel"] = j.label
+	return d.submitTo(m, d.path, id, j, deadline)
+}
+
+// submitTo does what submit does, on the route with a prefix.
+func (d *deployment) submitTo(m *machine, prefix, id string, j job, deadline time.Duration) answer {
+	s, _ := json.Marshal(spec{Ms: j.ms, Need: j.need})
+	var steps []any
+	for i := range max(1, j.steps) {
+		step := map[string]any{"Count": j.tasks, "Cpu": j.need.Cpu, "MemMb": j.need.MemMb, "EstimateMs": j.ms}
+		if j.label != "" {
+			step["RequiredLabel"] = j.label
+		}
+		if i > 0 {
+			step["DependsOn"] = []int{i - 1}
+		}
+		steps = append(steps, step)
 	}
-	b, _ := json.Marshal(map[string]any{"Spec": string(s), "BestEffort": true, "Phases": []any{step}})
-	return d.call(http.MethodPost, m, id, b, deadline)
+	b, _ := json.Marshal(map[string]any{"Spec": string(s), "BestEffort": true, "Phases": steps})
+	return d.call(http.MethodPost, m, prefix, id, b, deadline)
 }
 
 // cancel sends a DELETE for a job to an entry VM.
-func (d *deployment) cancel(m *machine, id string) answer {
-	return d.call(http.MethodDelete, m, id, nil, 2*time.Second)
+func (d *deployment) cancel(m *machine, id string) answer { return d.cancelOn(m, d.path, id) }
+
+// cancelOn does what cancel does, on the route with a prefix.
+func (d *deployment) cancelOn(m *machine, prefix, id string) answer {
+	return d.call(http.MethodDelete, m, prefix, id, nil, 2*time.Second)
 }
 
-func (d *deployment) call(method string, m *machine, id string, body []byte, deadline time.Duration) answer {
-	q, err := http.NewRequest(method, "http://"+m.callers+d.path+id, bytes.NewReader(body))
+func (d *deployment) call(method string, m *machine, prefix, id string, body []byte, deadline time.Duration) answer {
+	q, err := http.NewRequest(method, "http://"+m.callers+prefix+id, bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -335,7 +353,7 @@
 		q.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	}
 	client := &http.Client{Timeout: deadline + 200*time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	d.record.note("%s %s%s to %s", method, d.path, id, m.name)
+	d.record.note("%s %s%s to %s", method, prefix, id, m.name)
 	resp, err := client.Do(q)
 	a := answer{at: time.Now(), err: err}
 	if err == nil {
@@ -347,7 +365,7 @@
 			a.state = state.State
 		}
 	}
-	d.record.note("%s %s%s: %v", method, d.path, id, a)
+	d.record.note("%s %s%s: %v", method, prefix, id, a)
 	return a
 }
 
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -33,6 +33,7 @@
 	"cancel": playCancel,
 	"label":  playLabel,
 	"room":   playRoom,
+	"route":  playRoute,
 }
 
 func main() { os.Exit(run()) }
--- a/review/third/record.go
+++ b/review/third/record.go
@@ -16,6 +16,9 @@
 	file   *os.File
 	starts []start
 	live   map[string]start // runs at work, by task
+	done   map[string]bool  // tasks of which a run ended as done
+	known  map[string]*sjob
+	extra  []string
 }
 
 // start is a task that a worker has begun.
@@ -29,6 +32,7 @@
 	service string
 	fence   int64
 	beside  []string // tasks of other workers' runs of the same task
+	expired func() bool
 }
 
 func (s start) job() string { return strings.SplitN(s.task, ".", 2)[0] }
@@ -38,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{startedAt: time.Now(), file: f, live: make(map[string]start)}, nil
+	return &record{startedAt: time.Now(), file: f, live: make(map[string]start), done: make(map[string]bool), known: make(map[string]*sjob)}, nil
 }
 
 func (r *record) close() { _ = r.file.Close() }
@@ -58,10 +62,11 @@
 func (r *record) begin(s start) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o, runs := r.live[s.task]; runs {
+	if o, runs := r.live[s.task]; runs && !o.expired() {
 		s.beside = append(s.beside, fmt.Sprintf("run %d on %s/%d", o.run, o.worker, o.born))
 	}
 	r.starts = append(r.starts, s)
+	r.check(s)
 	r.live[s.task] = s
 	r.write("%s/%d starts %s run %d, fence %d", s.worker, s.born, s.task, s.run, s.fence)
 }
@@ -73,6 +78,9 @@
 	if s, runs := r.live[task]; runs && s.worker == worker && s.born == born && s.run == run {
 		delete(r.live, task)
 	}
+	if how == "done" {
+		r.done[task] = true
+	}
 	r.write("%s/%d ends %s run %d: %s", worker, born, task, run, how)
 }
 
@@ -99,3 +107,36 @@
 	}
 	return broken
 }
+
+func (r *record) know(j *sjob) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known[j.id] = j
+}
+
+func (r *record) check(s start) {
+	j := r.known[s.job()]
+	if j == nil {
+		return
+	}
+	parts := strings.Split(s.task, ".")
+	step := int(parts[2][0] - '0')
+	for _, dep := range func() []int { l, _ := j.steps[step]["DependsOn"].([]int); return l }() {
+		for i := range j.steps[dep]["Count"].(int) {
+			if t := fmt.Sprintf("%s.0.%d.%d", j.id, dep, i); !r.done[t] {
+				r.extra = append(r.extra, "ORDER: "+s.task+" starts before "+t+" is done")
+			}
+		}
+	}
+	if most, _ := j.steps[step]["AntiAffinity"].(int); most > 0 {
+		n := 1
+		for t, o := range r.live {
+			if t != s.task && o.worker == s.worker && o.born == s.born && strings.HasPrefix(t, fmt.Sprintf("%s.0.%d.", j.id, step)) && !o.expired() {
+				n++
+			}
+		}
+		if n > most {
+			r.extra = append(r.extra, fmt.Sprintf("ROUTE: %s is number %d of %d on %s", s.task, n, most, s.worker))
+		}
+	}
+}
--- a/review/third/runner.go
+++ b/review/third/runner.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -24,6 +25,7 @@
 	controls                   []string // addresses that serve control
 
 	cutFromControl atomic.Bool // its announcements get no answer
+	lose           atomic.Pointer[loss]
 
 	mu       sync.Mutex // guards the fields below
 	labels   []string
@@ -32,6 +34,12 @@
 	life     *life
 }
 
+// loss says which share of the orders gets no answer, and whether these are carried out late.
+type loss struct {
+	share float64
+	late  bool
+}
+
 // life is one incarnation of a runner.
 type life struct {
 	r        *runner
@@ -42,6 +50,7 @@
 	server   *http.Server
 	stop     context.CancelFunc
 	seq      int
+	lease    atomic.Int64 // as deadline
 
 	mu       sync.Mutex // guards the fields below
 	dead     bool
@@ -74,7 +83,6 @@
 type spec struct {
 	Ms   int      `json:"ms"`
 	Need capacity `json:"need"`
-	Text string   `json:"text,omitempty"`
 }
 
 // begin starts a life of the runner.
@@ -183,6 +191,16 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	lost := false
+	if x := l.r.lose.Load(); x != nil && rand.Float64() < x.share {
+		lost = true
+		if x.late {
+			path := q.URL.Path
+			time.AfterFunc(time.Duration(2000+rand.IntN(10000))*time.Millisecond, func() { l.carryOutLate(path, o) })
+			<-q.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.dead {
@@ -239,17 +257,49 @@
 		}
 		reply["Running"], reply["Ended"] = running, ended
 	}
+	if lost {
+		l.mu.Unlock()
+		<-q.Context().Done()
+		l.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	b, _ := json.Marshal(reply)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(b)
 }
 
+func (l *life) carryOutLate(path string, o order) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead || o.Fence < l.fence {
+		return
+	}
+	l.due(time.Now())
+	l.fence = o.Fence
+	switch path {
+	case "/api/run-start":
+		l.startTask(o)
+	case "/api/run-stop":
+		l.highest[o.Task] = max(l.highest[o.Task], o.Run)
+		if t := l.running[o.Task]; t != nil && t.run <= o.Run {
+			l.end(o.Task, "stopped")
+		}
+	case "/api/hold":
+		l.extend(o.DeadlineMs)
+		l.forget(o.SeenUpto)
+	}
+}
+
 // extend moves the expiry of all leases; it never shortens, and is at most a second away.
 func (l *life) extend(deadline int64) {
 	l.deadline = max(l.deadline, min(deadline, l.clock()+int64(holdMax/time.Millisecond)))
+	l.lease.Store(l.deadline)
 }
 
+// expired reports whether the leases here have run out, though the runs may not have been ended yet.
+func (l *life) expired() bool { return l.clock() > l.lease.Load() }
+
 func (l *life) forget(upto int) {
 	for len(l.ended) > 0 && l.ended[0].n <= upto {
 		l.ended = l.ended[1:]
@@ -283,7 +333,7 @@
 	}
 	l.highest[o.Task] = o.Run
 	l.running[o.Task] = &taskRun{o.Run, s.Need, time.Duration(s.Ms) * time.Millisecond, time.Now()}
-	l.r.record.begin(start{at: time.Now(), task: o.Task, run: o.Run, worker: l.r.id, born: l.born, labels: l.labels, service: l.r.service, fence: o.Fence})
+	l.r.record.begin(start{at: time.Now(), task: o.Task, run: o.Run, worker: l.r.id, born: l.born, labels: l.labels, service: l.r.service, fence: o.Fence, expired: func() bool { return l.expired() }})
 	return ""
 }
 
