--- a/review/third/deployment.go
+++ b/review/third/deployment.go
@@ -36,6 +36,7 @@
 	settings               string // path of its file
 	callers, control       string // host:port
 	readiness              string
+	peers                  *relay // of its connections from other VMs; nil without
 	command                *exec.Cmd
 	done                   chan struct{}
 }
@@ -107,6 +108,13 @@
 		"seeds": d.seeds, "first_start": first, "lease_max": "1000ms", "stop_max": "50ms", "shutdown_limit": "6s",
 		"processor": "0.4", "memory_mb": 284,
 	}
+	if os.Getenv("RELAYS") != "" {
+		s["peer_listen"] = fmt.Sprint(m.ip, ":", peers+1)
+		var err error
+		if m.peers, err = newRelay(fmt.Sprint(m.ip, ":", peers), fmt.Sprint(m.ip, ":", peers+1)); err != nil {
+			return err
+		}
+	}
 	if m.callers != "" {
 		s["callers"], s["readiness"] = m.callers, m.readiness
 	}
@@ -381,18 +389,23 @@
 	return a
 }
 
-// starter returns the machine that drew a fence, which ends with a hash of its address.
+// starter returns the machine that drew a fence.
 func (d *deployment) starter(fence int64) *machine {
 	for _, m := range d.entries {
-		h := fnv.New32a()
-		ip, err := netip.ParseAddr(m.ip)
-		if err != nil {
-			continue
-		}
-		_, _ = fmt.Fprintf(h, "ip-%x", ip.AsSlice())
-		if uint16(fence) == uint16(h.Sum32()) {
+		if m.drew(fence) {
 			return m
 		}
 	}
 	return nil
 }
+
+// drew reports whether m drew a fence, which ends with a hash of its address.
+func (m *machine) drew(fence int64) bool {
+	ip, err := netip.ParseAddr(m.ip)
+	if err != nil {
+		return false
+	}
+	h := fnv.New32a()
+	_, _ = fmt.Fprintf(h, "ip-%x", ip.AsSlice())
+	return uint16(fence) == uint16(h.Sum32())
+}
--- a/review/third/runner.go
+++ b/review/third/runner.go
@@ -26,6 +26,7 @@
 
 	cutFromControl atomic.Bool // its announcements get no answer
 	lose           atomic.Pointer[loss]
+	cutFromEntry   atomic.Pointer[machine] // exchanges nothing with it
 
 	mu       sync.Mutex // guards the fields below
 	labels   []string
@@ -50,7 +51,10 @@
 	server   *http.Server
 	stop     context.CancelFunc
 	seq      int
-	lease    atomic.Int64 // as deadline
+	leaving  atomic.Bool
+	soon     chan struct{} // has the next heartbeat sent at once
+	ackedAt  atomic.Int64  // when a heartbeat that says draining was acknowledged, in Unix milliseconds; 0 before
+	lease    atomic.Int64  // as deadline
 
 	mu       sync.Mutex // guards the fields below
 	dead     bool
@@ -97,7 +101,7 @@
 	now := time.Now()
 	life := &life{
 		r: r, born: now.UnixMilli(), began: now, labels: r.labels, capacity: r.capacity, stop: stop,
-		running: make(map[string]*taskRun), highest: make(map[string]int), wake: make(chan struct{}),
+		running: make(map[string]*taskRun), highest: make(map[string]int), wake: make(chan struct{}), soon: make(chan struct{}, 1),
 	}
 	life.server = &http.Server{Handler: life}
 	r.life, r.up = life, true
@@ -191,6 +195,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	cut := func() bool { m := l.r.cutFromEntry.Load(); return m != nil && m.drew(o.Fence) }
+	if cut() {
+		<-q.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	lost := false
 	if x := l.r.lose.Load(); x != nil && rand.Float64() < x.share {
 		lost = true
@@ -257,7 +266,7 @@
 		}
 		reply["Running"], reply["Ended"] = running, ended
 	}
-	if lost {
+	if lost || cut() {
 		l.mu.Unlock()
 		<-q.Context().Done()
 		l.mu.Lock()
@@ -331,6 +340,10 @@
 		}
 		l.overfull = append(l.overfull, fmt.Sprintf("%s/%d runs %+v, its capacity is %+v, after the start of %s", l.r.id, l.born, used, l.capacity, o.Task))
 	}
+	if at := l.ackedAt.Load(); at > 0 && time.Now().UnixMilli()-at > 2000 {
+		l.overfull = append(l.overfull, fmt.Sprintf("DRAIN: %s/%d starts %s %d ms after its draining was acknowledged", l.r.id, l.born, o.Task, time.Now().UnixMilli()-at))
+		l.r.record.note("DRAIN %s starts %s", l.r.id, o.Task)
+	}
 	l.highest[o.Task] = o.Run
 	l.running[o.Task] = &taskRun{o.Run, s.Need, time.Duration(s.Ms) * time.Millisecond, time.Now()}
 	l.r.record.begin(start{at: time.Now(), task: o.Task, run: o.Run, worker: l.r.id, born: l.born, labels: l.labels, service: l.r.service, fence: o.Fence, expired: func() bool { return l.expired() }})
@@ -351,11 +364,21 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-l.soon:
 		case <-time.After(heartbeatEvery):
 		}
 	}
 }
 
+// drain has the runner say that it leaves.
+func (l *life) drain() {
+	l.leaving.Store(true)
+	select {
+	case l.soon <- struct{}{}:
+	default:
+	}
+}
+
 var errCut = errors.New("no answer")
 
 func (l *life) beat(ctx context.Context, client *http.Client, control string) error {
@@ -367,8 +390,12 @@
 		return errCut
 	}
 	l.seq++
+	leaving, state := l.leaving.Load(), "ready"
+	if leaving {
+		state = "draining"
+	}
 	b, _ := json.Marshal(map[string]any{
-		"Service": l.r.service, "Addr": l.r.address, "Zone": l.r.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
+		"Service": l.r.service, "Addr": l.r.address, "Zone": l.r.zone, "Version": "v1", "Slots": 8, "State": state, "ColdRemainingMs": 0,
 		"Capacity": l.capacity, "Labels": l.labels, "ClockMs": l.clock(), "Seq": l.seq, "born": l.born,
 	})
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+control+"/api/Instances.Heartbeat/"+l.r.id, bytes.NewReader(b))
@@ -384,5 +411,8 @@
 	if resp.StatusCode/100 != 2 {
 		return errCut
 	}
+	if leaving && l.ackedAt.CompareAndSwap(0, time.Now().UnixMilli()) {
+		l.r.record.note("%s/%d is draining, which %s has acknowledged", l.r.id, l.born, control)
+	}
 	return nil
 }
--- a/review/third/soak.go
+++ b/review/third/soak.go
@@ -264,7 +264,114 @@
 				continue
 			}
 		}
-		switch k := rng.IntN(9); k {
+		if os.Getenv("RELAYS") != "" && rng.IntN(2) == 0 {
+			m := append(append([]*machine{}, d.entries...), d.controls...)[rng.IntN(10)]
+			share := 0.3 + 0.7*rng.Float64()
+			d.record.note("%d connections to %s go silent", m.peers.silence(share), m.name)
+			continue
+		}
+		switch k := rng.IntN(15); k {
+		case 13, 14: // runners leave, and start again under their ids
+			r := d.runners[rng.IntN(len(d.runners))]
+			stay, down := time.Duration(2500+rng.IntN(4000))*time.Millisecond, time.Duration(50+rng.IntN(2000))*time.Millisecond
+			mu.Lock()
+			ok := !rb[r]
+			rb[r] = true
+			mu.Unlock()
+			if ok {
+				all.Go(func() {
+					l := r.life
+					l.drain()
+					time.Sleep(stay)
+					r.crash()
+					l.mu.Lock()
+					d.record.mu.Lock()
+					for _, o := range l.overfull {
+						if strings.HasPrefix(o, "DRAIN") {
+							d.record.extra = append(d.record.extra, o)
+						}
+					}
+					d.record.mu.Unlock()
+					l.mu.Unlock()
+					time.Sleep(down)
+					_ = r.begin()
+					time.Sleep(time.Second)
+					mu.Lock()
+					rb[r] = false
+					mu.Unlock()
+				})
+			}
+		case 9: // the entry VMs of a zone, or all, are killed at once
+			list := [][]*machine{d.entries[0:3], d.entries[3:5], d.entries[5:7], d.entries}[rng.IntN(4)]
+			mu.Lock()
+			free := true
+			for _, m := range d.entries {
+				free = free && !busy[m]
+			}
+			if free {
+				for _, m := range list {
+					busy[m] = true
+				}
+			}
+			mu.Unlock()
+			if free {
+				down := time.Duration(100+rng.IntN(1500)) * time.Millisecond
+				all.Go(func() {
+					for _, m := range list {
+						d.signal(m, syscall.SIGKILL)
+					}
+					for _, m := range list {
+						<-m.done
+					}
+					time.Sleep(down)
+					for _, m := range list {
+						_ = d.start(m)
+						time.Sleep(time.Duration(rand.IntN(100)) * time.Millisecond)
+					}
+					time.Sleep(time.Second)
+					for _, m := range list {
+						give(m)
+					}
+				})
+			}
+		case 10: // runners are cut off from control; some crash behind the cut and start again
+			r := d.runners[rng.IntN(len(d.runners))]
+			for_, down := time.Duration(2000+rng.IntN(3500))*time.Millisecond, time.Duration(20+rng.IntN(1000))*time.Millisecond
+			mu.Lock()
+			ok := !rb[r]
+			rb[r] = true
+			mu.Unlock()
+			if ok {
+				all.Go(func() {
+					d.record.note("runner %s is cut off from control", r.id)
+					r.cutFromControl.Store(true)
+					time.Sleep(300 * time.Millisecond)
+					r.crash()
+					time.Sleep(down)
+					_ = r.begin()
+					time.Sleep(for_)
+					r.cutFromControl.Store(false)
+					time.Sleep(time.Second)
+					mu.Lock()
+					rb[r] = false
+					mu.Unlock()
+				})
+			}
+		case 11, 12: // runners lose the path to one entry VM
+			m := d.entries[rng.IntN(len(d.entries))]
+			for_ := time.Duration(1000+rng.IntN(4500)) * time.Millisecond
+			all.Go(func() {
+				d.record.note("runners lose the path to %s for %s", m.name, for_)
+				for _, r := range d.runners {
+					if rand.IntN(2) == 0 {
+						r.cutFromEntry.Store(m)
+					}
+				}
+				time.Sleep(for_)
+				for _, r := range d.runners {
+					r.cutFromEntry.CompareAndSwap(m, nil)
+				}
+			})
 		case 0, 1:
 			if m := take(pool); m != nil {
 				down := time.Duration(100+rng.IntN(2500)) * time.Millisecond
