--- a/review/third/deployment.go
+++ b/review/third/deployment.go
@@ -372,7 +372,7 @@
 		q.Header.Set("Content-Type", "application/json")
 		q.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	}
-	client := &http.Client{Timeout: deadline + 200*time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: deadline, Transport: &http.Transport{DisableKeepAlives: true}}
 	d.record.note("%s %s%s to %s", method, prefix, id, m.name)
 	resp, err := client.Do(q)
 	a := answer{at: time.Now(), err: err}
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -32,9 +32,9 @@
 var plays = map[string]play{
 	"cancel": playCancel,
 	"label":  playLabel,
-	"room":   playRoom,
 	"route":  playRoute,
 	"writer": playWriter,
+	"drain":  playDrain,
 }
 
 func main() { os.Exit(run()) }
--- a/review/third/reborn.go
+++ b/review/third/reborn.go
@@ -49,34 +49,3 @@
 	_ = r.begin()
 	time.Sleep(200 * time.Millisecond)
 }
-
-// playRoom is as playLabel, with a service whose runners start whatever they are told to, and a runner that comes back with less capacity.
-func playRoom(d *deployment, trouble bool) (broken []string, err error) {
-	d.guards = false
-	target := d.runners[2]
-	target.capacity = capacity{32000, 65536, 0}
-	if err := d.up(); err != nil {
-		return nil, err
-	}
-	j := job{tasks: 1, ms: 200, need: capacity{20000, 64, 0}}
-	if a := d.submit(d.entries[0], newID(), j, 3*time.Second); a.state != "completed" {
-		return nil, errors.New("a large job is not served")
-	}
-	d.reborn(target, trouble, func() { target.capacity = capacity{16000, 32768, 0} })
-	a := d.submit(d.entries[0], newID(), j, 1500*time.Millisecond)
-	if !trouble && a.state != "completed" {
-		return nil, errors.New("a large job is not served")
-	}
-	target.cutFromControl.Store(false)
-	for _, r := range d.runners {
-		if r.life == nil {
-			continue
-		}
-		r.life.mu.Lock()
-		for _, o := range r.life.overfull {
-			broken = append(broken, "LIMIT: "+o)
-		}
-		r.life.mu.Unlock()
-	}
-	return broken, nil
-}
--- a/review/third/soak.go
+++ b/review/third/soak.go
@@ -102,7 +102,7 @@
 							return
 						}
 						time.Sleep(1300 * time.Millisecond)
-						if rand.IntN(3) == 0 {
+						if rand.IntN(3) == 0 || os.Getenv("EARLY") != "" {
 							z = rand.IntN(3)
 						}
 					}
@@ -201,6 +201,9 @@
 	case 1:
 		j.label = "b"
 	}
+	if os.Getenv("EARLY") != "" && rand.IntN(2) == 0 {
+		j.deadline = time.Duration(150+rand.IntN(1200)) * time.Millisecond
+	}
 	for i := range n {
 		s := map[string]any{"Count": 1 + rand.IntN(5), "Cpu": need.Cpu, "MemMb": need.MemMb, "EstimateMs": ms}
 		if i > 0 {
@@ -270,7 +273,22 @@
 			d.record.note("%d connections to %s go silent", m.peers.silence(share), m.name)
 			continue
 		}
-		switch k := rng.IntN(15); k {
+		switch k := rng.IntN(17); k {
+		case 15, 16: // an entry VM is slow
+			if m := take(d.entries); m != nil {
+				for_, stopped := time.Duration(1500+rng.IntN(4000))*time.Millisecond, time.Duration(30+rng.IntN(60))*time.Millisecond
+				all.Go(func() {
+					d.record.note("%s is slow for %s, stopped for %s of each 110 ms", m.name, for_, stopped)
+					for end := time.Now().Add(for_); time.Now().Before(end); {
+						_ = m.command.Process.Signal(syscall.SIGSTOP)
+						time.Sleep(stopped)
+						_ = m.command.Process.Signal(syscall.SIGCONT)
+						time.Sleep(110*time.Millisecond - stopped)
+					}
+					time.Sleep(time.Second)
+					give(m)
+				})
+			}
 		case 13, 14: // runners leave, and start again under their ids
 			r := d.runners[rng.IntN(len(d.runners))]
 			stay, down := time.Duration(2500+rng.IntN(4000))*time.Millisecond, time.Duration(50+rng.IntN(2000))*time.Millisecond
